--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,90 @@
+"""What the tests share: settings of their own, and a small host that carries out actions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from umberworks.interface import (
+    Action,
+    AttemptEnded,
+    Effect,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    RepeatGroup,
+    RequestArrived,
+    RequestClass,
+    Send,
+    Settings,
+)
+from umberworks.rules import Balancer
+
+READ = RequestClass("read", 1_000, 3_000, Effect.REPEATABLE)
+ORDER = RequestClass("order", 1_000, 3_000, Effect.KEYED, RepeatGroup.CELL, 2_000)
+ANYWHERE = RequestClass("anywhere", 1_000, 3_000, Effect.KEYED, RepeatGroup.ALL, 2_000)
+ZONAL = RequestClass("zonal", 1_000, 3_000, Effect.KEYED, RepeatGroup.ZONE, 2_000)
+# A window says nothing for a class that must not run twice, but settings may give one.
+PAY = RequestClass("pay", 1_000, 3_000, Effect.ONCE, repeat_window_ms=2_000)
+CLASSES = (READ, ORDER, ANYWHERE, ZONAL, PAY)
+
+
+def settings(**changes: Any) -> Settings:
+    base: dict[str, Any] = {
+        "classes": CLASSES,
+        "max_attempts": 4,
+        "may_cancel": True,
+        "may_duplicate": True,
+        "cold_ms": 10_000,
+        "cold_from": 0.2,
+        "cold_overload_factor": 3.0,
+    }
+    return Settings(**(base | changes))
+
+
+def members(count: int, **changes: Any) -> tuple[Member, ...]:
+    return tuple(Member(f"s{i}", zone=f"z{i % 2}", cell=i // 2, **changes) for i in range(count))
+
+
+class Desk:
+    """A balancer with a list, and the time and request numbers kept for it."""
+
+    def __init__(self, count: int = 4, seed: int = 1, **changes: Any) -> None:
+        self.balancer = Balancer(settings(**changes), seed)
+        self.now = 1_000.0
+        self.log: list[Action] = []
+        self.show(*members(count))
+        self._next = 0
+
+    def tell(self, event: Any) -> list[Action]:
+        actions = self.balancer.handle(event, self.now)
+        self.log.extend(actions)
+        return actions
+
+    def show(self, *entries: Member, kind: ListKind = ListKind.WHOLE) -> list[Action]:
+        return self.tell(ListUpdate(kind, entries))
+
+    def ask(
+        self, cls: RequestClass = READ, remaining: float = 3_000, **more: Any
+    ) -> tuple[int, list[Action]]:
+        self._next += 1
+        return self._next, self.tell(RequestArrived(self._next, cls.name, remaining, **more))
+
+    def end(self, request: int, attempt: int, server: str, outcome: Outcome) -> list[Action]:
+        return self.tell(AttemptEnded(request, attempt, server, outcome, outcome is Outcome.SERVED))
+
+    def serve(self, cls: RequestClass = READ, takes: float | dict[str, float] = 50.0) -> str:
+        """One request, served by whichever server it is sent to; each may take its own time."""
+        request, actions = self.ask(cls)
+        server = sent(actions)[0].server
+        self.now += takes[server] if isinstance(takes, dict) else takes
+        self.end(request, 0, server, Outcome.SERVED)
+        return server
+
+
+def sent(actions: list[Action]) -> list[Send]:
+    return [a for a in actions if isinstance(a, Send)]
+
+
+def of_kind(actions: list[Action], *kinds: type) -> list[Action]:
+    return [a for a in actions if isinstance(a, kinds)]
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,172 @@
+"""The codec and the host, on lines of our own."""
+
+from __future__ import annotations
+
+import io
+import os
+import subprocess
+import sys
+
+import pytest
+
+from umberworks.interface import Cancel, Fail, Log, Refuse, Send, SetTimer, Subscribe
+from umberworks.simhost import Host
+from umberworks.wire import write_action
+
+FACTS = (
+    "azs=a balancers=2 classes.count=1 classes.0.name=read classes.0.target=900.0 "
+    "classes.0.deadline=2000.0 classes.0.effect=retryable limits.attemptsCap=3 discovery=push tick=5.0"
+)
+LEDGER = (
+    "ledger list=3 membersList=2\nm upstream=u1 readiness=1 cell=0 rackZone=a\n"
+    "m upstream=u2 readiness=1 cell=1 rackZone=a upSince=40.5\n"
+)
+
+
+def up(who: int, seed: int = 11) -> str:
+    return f"up who={who} prng={seed} {FACTS}\n"
+
+
+def start(who: int = 1) -> str:
+    return f"sync time=100.0 batch=1\n{up(who)}{LEDGER}membership who={who} generation=1 mode=0 list=3\neob\n"
+
+
+def host(text: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    status = Host(err).run(io.StringIO(text), out)
+    return status, out.getvalue(), err.getvalue()
+
+
+def test_actions_are_written_as_lines() -> None:
+    assert [
+        write_action("4", a)
+        for a in (
+            Send(7, "u1", 80),
+            SetTimer(12.5, "wait"),
+            Refuse(7),
+            Fail(7),
+            Cancel(7, 1),
+            Subscribe(),
+            Log("two\nlines"),
+        )
+    ] == [
+        "send who=4 corr=7 upstream=u1 timeout=80.000",
+        "remind who=4 moment=12.500 ctx=wait",
+        "reject who=4 corr=7",
+        "abort who=4 corr=7",
+        "cancel who=4 corr=7 shot=1",
+        "follow who=4 enable=1",
+        "say_log who=4 bodyText=two lines",
+    ]
+
+
+def test_a_request_goes_out_and_every_batch_is_answered() -> None:
+    status, out, _ = host(
+        start() + "\nsync time=105.0 batch=2\nknock who=1 corr=9 remaining=900.0 grade=read\neob\n"
+    )
+    assert status == 0
+    lines = out.split("\n")
+    assert lines[0] == "yield batch=1"
+    assert any(line.startswith("send who=1 corr=9 upstream=u") for line in lines)
+    assert lines[-2] == "yield batch=2"
+
+
+def test_unknown_things_are_noted_once_and_ignored() -> None:
+    text = start().replace("tick=5.0", "tick=5.0 moon.phase=3")
+    text += "sync time=110.0 batch=2\nfrobnicate who=1\nfrobnicate who=1\neob\n"
+    status, out, err = host(text)
+    assert status == 0 and out.endswith("yield batch=2\n")
+    assert err.count("frobnicate") == 1 and err.count("moon.phase") == 1
+
+
+@pytest.mark.parametrize(
+    ("bad", "reason"),
+    [
+        ("knock who=1 corr=9 grade=read", "'remaining' is missing"),
+        ("knock who=1 corr=x remaining=9 grade=read", "no whole number"),
+        ("knock who=1 corr=9 remaining=soon grade=read", "no number"),
+        ("knock who=5 corr=9 remaining=9.0 grade=read", "instance '5' is unknown"),
+        ("membership who=1 generation=2 mode=2 list=9", "ledger 9 was never sent"),
+        ("knock who=1 corr=9 remaining=nan grade=read", "no finite number"),
+        ("ledger list=1 membersList=2\nm upstream=u1 readiness=1", "cut short"),
+        ("ledger list=1 membersList=1\nm upstream=u1 readiness=1 nominal=0", "no size above 0"),
+        ("ledger list=1 membersList=1\nm upstream=u1 readiness=9", "'readiness' holds '9'"),
+        ("knock who=1 corr", "not name=value"),
+        (up(2).strip().replace("classes.0.target=900.0", "classes.0.target=-1"), "aim_ms"),
+    ],
+)
+def test_a_bad_line_is_named_in_one_message(bad: str, reason: str) -> None:
+    status, _, err = host(start() + f"sync time=110.0 batch=2\n{bad}\neob\n")
+    assert status == 1
+    assert reason in err and "batch 2" in err and err.count("\n") == 1
+
+
+def test_input_may_end_between_batches_but_not_inside() -> None:
+    assert host(start())[0] == 0
+    status, _, err = host(start() + "sync time=110.0 batch=2\n")
+    assert status == 1 and "inside a batch" in err
+
+
+def test_a_fault_is_said_for_its_instance_only() -> None:
+    text = "sync time=90.0 batch=0\n" + up(2) + "eob\n" + start(1)
+    text += "sync time=110.0 batch=2\nknock who=1 corr=9 remaining=900.0 grade=nosuch\n"
+    text += "knock who=2 corr=9 remaining=900.0 grade=read\neob\n"
+    status, out, err = host(text)
+    assert status == 0 and "give_in who=1 bodyText=ValueError" in out and "give_in who=2" not in out
+    assert "Traceback" in err
+
+
+def adapter(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
+    """The adapter as a process of its own, fed this text."""
+    return subprocess.run(
+        [sys.executable, "-m", "umberworks.simhost"],
+        input=text,
+        text=True,
+        capture_output=True,
+        env=os.environ | {"PYTHONHASHSEED": hash_seed},
+        timeout=60,
+    )
+
+
+def drive(instances: list[int], hash_seed: str) -> str:
+    """The replies of a process that hosts these instances, apart from the batch lines."""
+    text = "".join(["sync time=100.0 batch=1\n", LEDGER, *(up(i, 11 + i) for i in instances)])
+    text += "".join(f"membership who={i} generation=1 mode=0 list=3\n" for i in instances) + "eob\n"
+    for n in range(40):
+        text += f"sync time={110.0 + 7 * n} batch={n + 2}\n"
+        text += "".join(f"knock who={i} corr={n} remaining=900.0 grade=read\n" for i in instances) + "eob\n"
+    done = adapter(text, hash_seed)
+    assert done.returncode == 0
+    return done.stdout
+
+
+def test_same_actions_under_any_hash_seed_and_split_over_processes() -> None:
+    together = drive([1, 2], "1")
+    assert together == drive([1, 2], "2")
+    for who in (1, 2):
+        mine = [line for line in together.split("\n") if f"who={who} " in line]
+        alone = [line for line in drive([who], "3").split("\n") if f"who={who} " in line]
+        assert mine == alone and mine
+
+
+@pytest.mark.parametrize(
+    ("bad", "reason"),
+    [
+        ("knock who=1 corr=9 grade=read", "field 'remaining' is missing"),
+        ("membership who=1 generation=2 mode=7 list=0", "field 'mode' holds '7'"),
+        ("ledger list=1 membersList=2\nm upstream=u1 readiness=1", "cut short"),
+        ("reminder who=6 ctx=list", "instance '6' is unknown"),
+    ],
+)
+def test_the_adapter_ends_on_bad_input_with_one_plain_line(bad: str, reason: str) -> None:
+    done = adapter(f"{start()}sync time=110.0 batch=2\n{bad}\neob\n")
+    assert done.returncode == 1
+    assert reason in done.stderr and "batch 2" in done.stderr and done.stderr.count("\n") == 1
+    assert bad.split("\n")[-1].split(" ")[0] in done.stderr or "eob" in done.stderr  # the line it stopped at
+    assert all(line.split(" ")[0] in ("yield", "follow", "remind") for line in done.stdout.splitlines())
+
+
+def test_the_adapter_ends_where_the_input_ends_inside_a_batch() -> None:
+    done = adapter(f"{start()}sync time=110.0 batch=2\nreminder who=1 ctx=list\n")
+    assert done.returncode == 1 and "ended inside a batch" in done.stderr
+    assert "Traceback" not in done.stderr
--- /dev/null
+++ b/umberworks/interface.py
@@ -0,0 +1,276 @@
+"""What a balancer is told and what it may do: settings, members, events and actions.
+
+The contract. The caller owns the clock: all times and spans are milliseconds on one clock that may stand
+still but never goes backwards. It calls `Balancer.handle` with one event at a time, in the order in which
+they happened, carries out the returned actions in order, and delivers in turn: for each `Send` exactly one
+`AttemptEnded`, for each `SetTimer` one `TimerDue` at or after its moment, for each `Subscribe` the list and
+then its changes. A served attempt ends its request; every other request ends with the one `Refuse` or
+`Fail` that the balancer returns. A balancer is single-threaded and shares nothing; its only chance comes
+from its seed. Settings out of range and impossible events (an unknown class, a request seen twice, an
+attempt never made) raise `ValueError`.
+
+Every type is a frozen value; the decisions are in `umberworks.rules`.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from dataclasses import dataclass, fields
+
+
+class Effect(enum.Enum):
+    """Whether a request of a class may run more than once."""
+
+    REPEATABLE = "repeatable"
+    KEYED = "keyed"
+    ONCE = "once"
+
+
+class RepeatGroup(enum.Enum):
+    """Which servers drop repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Readiness(enum.Enum):
+    """What the list says of a server's process."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(enum.Enum):
+    """What a list event carries."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    SAVED = "saved"
+    FAILED = "failed"
+
+
+class Outcome(enum.Enum):
+    """How an attempt ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"
+
+
+NEVER_RAN = frozenset({Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.NOT_SENT})
+"""The outcomes that prove that the attempt had no effect."""
+
+
+def _require(condition: bool, name: str, wanted: str) -> None:
+    if not condition:
+        raise ValueError(f"{name}: {wanted}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One class of requests and what its callers want."""
+
+    name: str
+    aim_ms: float
+    deadline_ms: float
+    effect: Effect
+    repeat_group: RepeatGroup = RepeatGroup.ALL
+    repeat_window_ms: float = 0.0
+    worth: float = 1.0
+    late_share: float = 0.0
+    streamed: bool = False
+
+    def __post_init__(self) -> None:
+        _require(bool(self.name), "name", "must not be empty")
+        for field in ("aim_ms", "deadline_ms"):
+            value = getattr(self, field)
+            _require(math.isfinite(value) and value > 0, field, "must be a finite number above 0")
+        _require(self.repeat_window_ms >= 0, "repeat_window_ms", "must not be negative")
+        _require(self.worth >= 0, "worth", "must not be negative")
+        _require(0 <= self.late_share <= 1, "late_share", "must be between 0 and 1")
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One customer and the requests a second it may expect, over all balancers."""
+
+    name: str
+    quota_per_s: float
+
+    def __post_init__(self) -> None:
+        _require(bool(self.name), "name", "must not be empty")
+        _require(self.quota_per_s >= 0, "quota_per_s", "must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one balancer instance is told when it starts."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    balancers: int = 1
+    calling_tier: int = 0
+    list_is_asked: bool = False
+    ask_within_ms: float = 10_000.0
+    max_attempts: int = 3
+    may_cancel: bool = False
+    may_duplicate: bool = False
+    sizes_exact: bool = False  # a member's size is the one it was registered with, neither rough nor made up
+    cold_ms: float = 0.0
+    cold_from: float = 1.0
+    cold_overload_factor: float = 1.0
+    cold_window_ms: float = 1_000.0
+    tick_ms: float = 1.0
+
+    def __post_init__(self) -> None:
+        _require(bool(self.classes), "classes", "must name at least one class")
+        names = [c.name for c in self.classes]
+        _require(len(set(names)) == len(names), "classes", "must not name a class twice")
+        for field in ("balancers", "max_attempts"):
+            _require(getattr(self, field) >= 1, field, "must be 1 or more")
+        for field in ("calling_tier", "cold_ms"):
+            _require(getattr(self, field) >= 0, field, "must not be negative")
+        for field in ("ask_within_ms", "cold_window_ms", "cold_overload_factor", "tick_ms"):
+            _require(getattr(self, field) > 0, field, "must be above 0")
+        _require(0 < self.cold_from <= 1, "cold_from", "must be above 0 and at most 1")
+        for item in fields(self):
+            value = getattr(self, item.name)
+            _require(not isinstance(value, float) or math.isfinite(value), item.name, "must be finite")
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One server as the list shows it; `up_since_ms` is 0 when it started long ago."""
+
+    server: str
+    readiness: Readiness = Readiness.READY
+    zone: str = ""
+    cell: int = 0
+    size: float = 1.0
+    up_since_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        _require(math.isfinite(self.size) and self.size > 0, "size", "must be a finite number above 0")
+
+
+# ---- events -------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ListUpdate:
+    """News of the server list; FAILED carries no members and leaves the old list standing."""
+
+    kind: ListKind
+    members: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A client's request; exactly one final answer is owed within `remaining_ms`."""
+
+    request: int
+    class_name: str
+    remaining_ms: float
+    tenant: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerStarted:
+    """The answer of a streamed request has begun; its deadline no longer runs."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt is over; `answered` says that the request has its final answer."""
+
+    request: int
+    attempt: int
+    server: str
+    outcome: Outcome
+    answered: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    """The client has gone; nothing more is owed for the request."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    """A timer set by `SetTimer` has come due."""
+
+    token: str
+
+
+Event = ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerDue
+
+
+# ---- actions ------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Make the next attempt of a request; attempts count from 0."""
+
+    request: int
+    server: str
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Call off an attempt that is still out."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: not done, and trying again is harmless."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed; promises nothing of what happened."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a `TimerDue` at a moment of the clock; tokens hold no spaces."""
+
+    at_ms: float
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Open the standing subscription to the server list."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """A line for whoever is on call."""
+
+    text: str
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Subscribe | Log
--- /dev/null
+++ b/umberworks/rules.py
@@ -0,0 +1,450 @@
+"""Every decision of the balancer; its types, events and actions are in umberworks/interface.py.
+
+A request's path: `_arrived` puts it in the waiting line, `_pump` lets it out while there is room (`_room`),
+`_try_send` picks its server (`_pick`: the ordinary path), `_ended` books each outcome and may try again.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from bisect import bisect
+from collections import Counter
+from heapq import heappop, heappush
+from itertools import accumulate
+
+from umberworks import interface as face
+from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
+
+DRAWS = 4  # d of the design; with few calls out for each server a draw of 2 too often misses the free one
+MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
+LEAST_KEPT = 16  # servers that a balancer keeps to at the least: of fewer, a few failing ones weigh too much
+CALLS_EACH = 4.0  # calls in memory for each server kept to beyond these; with fewer our view is a sliver
+GOOD = 0.5  # of its usual capacity; below it a server is slow, cold or silent
+PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
+BASE_CALLS = 30  # served calls that make a measure of the time in service; the first find servers free
+BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
+RATE_MEMORY_MS = 2_000.0  # smoothing of our own served rate
+FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
+LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
+LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
+LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
+LEAST_ADMITTED = 0.05  # the share let in all the same, to notice that the crowd has gone
+WAIT_SHARE = 0.1  # share of its aim that a request may wait for room before it is refused
+TRY_STEP_MS = 50.0  # tries that give this much the same time are alike; the commonest are first tries
+RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
+RETRY_BURST = 10.0  # further attempts that may be saved up
+PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
+QUOTA_BURST_MS = 2_000.0  # a tenant may use this much of its share at once ...
+QUOTA_BURST = 4.0  # ... and so many requests; a small part of a share comes to less than one
+COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
+
+
+class _Server:
+    """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
+
+    def __init__(self, member: face.Member, now: float, rank: float) -> None:
+        self.member, self.rank, self.size = member, rank, 1.0
+        self.fit, self.heard = False, now
+        self.in_flight = 0  # m of the design, held slots of failures included
+        self.last_sent = -math.inf
+        self.forget(now)
+
+    def forget(self, now: float) -> None:
+        """Drop the evidence: the process behind the name is a new one."""
+        self.served, self.busy, self.seen = 0.0, 0.0, now
+
+    def catch_up(self, now: float) -> None:
+        """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
+        gap = now - self.seen
+        if gap > 0:
+            fade = math.exp(-gap / MEMORY_MS)
+            self.served *= fade
+            self.busy = self.busy * fade + self.in_flight * gap
+            self.seen = now
+
+
+class _Attempt:
+    def __init__(self, server: _Server, now: float, timeout: float) -> None:
+        self.server, self.sent, self.ends = server, now, now + timeout
+        self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
+
+
+class _Request:
+    def __init__(self, event: face.RequestArrived, cls: face.RequestClass, now: float) -> None:
+        self.id, self.cls = event.request, cls
+        self.deadline, self.aim_at = now + event.remaining_ms, now + cls.aim_ms
+        self.attempts: list[_Attempt] = []
+        self.owed, self.over_share, self.streaming = True, False, False
+
+    def is_out(self) -> bool:
+        return any(a.out for a in self.attempts)
+
+    def useful_until(self) -> float:
+        """When an answer stops being worth anything."""
+        return self.deadline if self.cls.late_share > 0 else min(self.deadline, self.aim_at)
+
+
+class Balancer:
+    """The decisions of one balancer instance: feed it events in order, carry out the actions it returns."""
+
+    def __init__(self, settings: face.Settings, seed: int) -> None:
+        self._settings = settings
+        self._classes = {c.name: c for c in settings.classes}
+        self._random = random.Random(seed)
+        self._servers: dict[str, _Server] = {}
+        self._ready, self._fit = list[_Server](), list[_Server]()  # fit: the part of them that we keep to
+        self._requests: dict[int, _Request] = {}
+        self._waiting: list[tuple[bool, float, int]] = []
+        self._held: list[tuple[float, int, _Server]] = []
+        self._held_count, self._out_count, self._retries = 0, 0, RETRY_BURST
+        # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
+        self._aims, self._spent, self._rate_seen = 0.0, 0.0, 0.0
+        self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, 0.0
+        self._mean, self._base = 0.0, 0.0  # time in service, last and lowest, in aims; 0: not measured yet
+        self._tries: dict[str, Counter[int]] = {c.name: Counter() for c in settings.classes}
+        self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
+        self._quota = {t.name: t.quota_per_s / settings.balancers / 1000 for t in settings.tenants}
+        self._share: dict[str, tuple[float, float]] = {}
+        self._asked, self._counted, self._sliver, self._list_failures = False, False, False, 0
+        self._refusing_until = -math.inf
+        self._actions: list[face.Action] = []
+
+    def handle(self, event: face.Event, now: float) -> list[face.Action]:
+        """Take one event at time `now` and return what to do, in order."""
+        self._actions = []
+        if self._settings.list_is_asked and not self._asked:
+            self._asked = True
+            self._actions.append(face.Subscribe())
+        self._release(now)
+        self._catch_up(now)
+        match event:
+            case face.AttemptEnded():
+                self._ended(event, now)
+            case face.RequestArrived():
+                self._arrived(event, now)
+            case face.TimerDue():
+                self._due(event.token, now)
+            case face.ListUpdate():
+                self._listed(event, now)
+            case face.ClientLeft():
+                self._left(event.request)
+            case face.AnswerStarted():
+                self._made(event)[0].streaming = True
+        self._pump(now)
+        return self._actions
+
+    def _listed(self, event: face.ListUpdate, now: float) -> None:
+        if event.kind is ListKind.FAILED:
+            # The list is out of reach: the old one stands; ask again, not all balancers in step.
+            pause = min(LIST_RETRY_MS * 2 ** min(self._list_failures, 9), self._settings.ask_within_ms / 3)
+            self._list_failures += 1
+            if self._list_failures == 1:
+                self._actions.append(face.Log("server list out of reach; keeping the last one"))
+            self._actions.append(face.SetTimer(now + pause * (0.5 + self._random.random()), "list"))
+            return
+        if self._list_failures and event.kind is not ListKind.SAVED:
+            self._list_failures = 0
+            self._actions.append(face.Log("server list is back"))
+        if event.kind is not ListKind.CHANGES:
+            for known in self._servers.values():
+                known.fit = False  # missing from a whole list means gone
+        for member in event.members:
+            server = self._servers.get(member.server)
+            if server is None:
+                server = self._servers[member.server] = _Server(member, now, self._random.random())
+            if member.up_since_ms > server.member.up_since_ms:
+                server.forget(now)  # the same name, a new process
+            server.size = member.size if self._settings.sizes_exact else 1.0
+            server.member, server.fit = member, member.readiness is face.Readiness.READY
+        self._servers = {name: s for name, s in self._servers.items() if s.fit or s.in_flight}
+        self._ready = sorted((s for s in self._servers.values() if s.fit), key=lambda s: s.rank)
+        self._choose()
+        started = max((s.member.up_since_ms for s in self._ready), default=0.0)
+        self._cold_until = started + self._settings.cold_ms
+        self._median_at = -math.inf
+
+    def _choose(self) -> None:
+        """Keep to as many servers as our calls can tell of, by ranks of our own: more we know by scraps."""
+        calls = sum(s.served for s in self._ready)
+        self._fit = self._ready[: max(LEAST_KEPT, round(calls / CALLS_EACH))]
+        self._counted = len(self._ready) >= self._settings.balancers  # else a count of calls out is chance
+        self._sliver = self._settings.sizes_exact and calls < CALLS_EACH * len(self._ready)
+        warm = [s.served for s in self._fit if self._warmth(s, self._rate_seen) >= 1]
+        self._usual_rate = sum(warm) / len(warm) / MEMORY_MS if warm else self._usual_rate
+
+    # ---- a request's path -----------------------------------------------------------------------
+
+    def _arrived(self, event: face.RequestArrived, now: float) -> None:
+        if event.request in self._requests:
+            raise ValueError(f"request {event.request} has arrived before")
+        if event.class_name not in self._classes:
+            raise ValueError(f"request {event.request} is of unknown class {event.class_name!r}")
+        request = _Request(event, self._classes[event.class_name], now)
+        request.over_share = self._over_share(event.tenant, now)
+        if self._settings.calling_tier == 0:
+            self._mark_later_try(request, event.remaining_ms)
+        self._requests[request.id] = request
+        self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
+        if self._crowded(request):
+            self._refuse_for_room(request, now)
+            return
+        heappush(self._waiting, (request.over_share, -now, request.id))
+        self._pump(now)
+        if not request.attempts:
+            wait = min(WAIT_SHARE * request.cls.aim_ms, request.useful_until() - now - self._settings.tick_ms)
+            if wait > 0:
+                self._actions.append(face.SetTimer(now + wait, f"wait:{request.id}"))
+            else:
+                self._give_up(request)
+
+    def _mark_later_try(self, request: _Request, remaining: float) -> None:
+        """Move up the aim of a later try, told by its time left: past the first aim it is worth little."""
+        tries, step = self._tries[request.cls.name], round(remaining / TRY_STEP_MS)
+        tries[step] += 1
+        if abs(step - max(tries, key=tries.__getitem__)) > 1:
+            request.aim_at -= max(request.cls.deadline_ms - remaining, 0.0)
+
+    def _due(self, token: str, now: float) -> None:
+        kind, _, number = token.partition(":")
+        request = self._requests.get(int(number or -1))
+        if kind == "list":
+            self._actions.append(face.Subscribe())
+        elif request is None or not request.owed:
+            return
+        elif kind == "copy":
+            self._copy(request, now)
+        elif not request.attempts:
+            self._refuse_for_room(request, now)
+
+    def _refuse_for_room(self, request: _Request, now: float) -> None:
+        if now > self._refusing_until:
+            self._actions.append(face.Log(f"no room: refusing; {self._out_count} calls out"))
+        self._refusing_until = now + MEMORY_MS
+        self._give_up(request)
+
+    def _copy(self, request: _Request, now: float) -> None:
+        """Send a copy of what is overdue at a server that has served nothing since: it may hang."""
+        silent = request.is_out() and all(a.server.heard <= a.sent for a in request.attempts if a.out)
+        if silent and self._out_count < self._room():
+            self._try_again(request, now, RETRY_BURST / 2)
+
+    def _pump(self, now: float) -> None:
+        """Let waiting requests out while there is room: within their share first, the newest first."""
+        room = self._room()
+        while self._waiting and self._out_count < room:
+            request = self._requests.get(self._waiting[0][2])
+            if request is not None and request.owed and not self._try_send(request, now):
+                return
+            heappop(self._waiting)
+
+    def _crowded(self, request: _Request) -> bool:
+        """Whether to refuse by the mean time in service; calls still out are in it: a stall shows at once."""
+        if self._counted or self._settings.calling_tier > 0:
+            return False
+        load = self._spent / (self._aims + LOAD_PRIOR * request.cls.aim_ms)
+        chance = (LOAD_FULL - load - LOAD_OVER_SHARE * request.over_share) / (LOAD_FULL - LOAD_FREE)
+        return self._random.random() >= max(chance, LEAST_ADMITTED)
+
+    def _room(self) -> float:
+        """How many calls may be out: past its capacity a server only queues, a crowded one slows down."""
+        if not self._counted or self._settings.calling_tier > 0:
+            return math.inf  # inner tiers let all in: a refusal there wastes what the tiers above have done
+        ours = len(self._ready) / self._settings.balancers
+        # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
+        queued = ours + self._base * self._aims / RATE_MEMORY_MS
+        room = max(FREE_PER_SERVER * ours, queued)
+        # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
+        return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self._base else room
+
+    def _catch_up(self, now: float) -> None:
+        """Bring the measure of the time in service to `now`, as `_Server.catch_up` does for one server."""
+        gap = now - self._rate_seen
+        if gap > 0:
+            fade = math.exp(-gap / RATE_MEMORY_MS)
+            self._aims *= fade
+            self._spent = self._spent * fade + self._out_count * RATE_MEMORY_MS * (1 - fade)
+            self._times += self._out_count * gap
+            self._base = min(self._base * math.exp(min(gap / BASE_DRIFT_MS, 1.0)), 1.0)  # idle for hours
+            self._rate_seen = now
+
+    def _try_send(self, request: _Request, now: float) -> bool:
+        timeout = request.useful_until() - now
+        if timeout <= self._settings.tick_ms or len(request.attempts) >= self._settings.max_attempts:
+            return False
+        server = self._pick(request, now)
+        if server is None:
+            return False
+        server.catch_up(now)
+        server.in_flight += 1
+        self._out_count += 1
+        request.attempts.append(_Attempt(server, now, timeout))
+        server.last_sent = now
+        self._actions.append(face.Send(request.id, server.member.server, timeout))
+        if self._mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
+            patience = PATIENCE * self._mean * request.cls.aim_ms
+            self._actions.append(face.SetTimer(now + patience, f"copy:{request.id}"))
+        return True
+
+    def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[_Request, _Attempt]:
+        request = self._requests.get(event.request)
+        if request is None or not 0 <= event.attempt < len(request.attempts):
+            raise ValueError(f"attempt {event.attempt} of request {event.request} was never made")
+        return request, request.attempts[event.attempt]
+
+    def _ended(self, event: face.AttemptEnded, now: float) -> None:
+        request, attempt = self._made(event)
+        if not attempt.out:
+            return
+        attempt.out = False
+        attempt.ran = event.outcome not in face.NEVER_RAN
+        self._book(attempt, event.outcome, request.cls, now)
+        if event.answered:
+            request.owed = False
+            self._cancel_rest(request)
+        elif request.owed and not request.is_out() and not self._try_again(request, now):
+            self._give_up(request)
+        self._drop_if_over(request)
+
+    def _try_again(self, request: _Request, now: float, keep: float = 0.0) -> bool:
+        """Make a further attempt out of the savings, of which `keep` stay for others."""
+        if self._retries < keep + 1 or request.streaming or not self._try_send(request, now):
+            return False
+        self._retries -= 1
+        return True
+
+    def _give_up(self, request: _Request) -> None:
+        request.owed = False
+        harmless = request.cls.effect is Effect.REPEATABLE or not any(a.ran for a in request.attempts)
+        self._actions.append(face.Refuse(request.id) if harmless else face.Fail(request.id))
+        self._drop_if_over(request)
+
+    def _cancel_rest(self, request: _Request) -> None:
+        if self._settings.may_cancel and not request.streaming:
+            self._actions.extend(face.Cancel(request.id, i) for i, a in enumerate(request.attempts) if a.out)
+
+    def _left(self, request_id: int) -> None:
+        if (request := self._requests.get(request_id)) is not None:
+            request.owed = False
+            self._cancel_rest(request)
+            self._drop_if_over(request)
+
+    def _drop_if_over(self, request: _Request) -> None:
+        if not request.owed and not request.is_out():
+            self._requests.pop(request.id, None)
+
+    def _over_share(self, tenant: str | None, now: float) -> bool:
+        """Whether this tenant is past our part of its share; its excess is worth little."""
+        rate = self._quota.get(tenant or "")
+        if rate is None or tenant is None:
+            return False
+        level, seen = self._share.get(tenant, (math.inf, now))
+        level = min(max(QUOTA_BURST_MS * rate, QUOTA_BURST), level + (now - seen) * rate)
+        over = level < 1
+        self._share[tenant] = (level if over else level - 1, now)
+        return over
+
+    def _harmless(self, request: _Request, now: float) -> list[_Server]:
+        """The fit servers to which the next attempt can do no harm; all of them if none may have run."""
+        cls = request.cls
+        ran = next((a for a in request.attempts if a.ran), None)
+        if request.is_out() and not self._settings.may_duplicate:
+            return []
+        if ran is None or cls.effect is Effect.REPEATABLE:
+            return self._fit
+        if cls.effect is Effect.ONCE or now >= ran.sent + cls.repeat_window_ms - self._settings.tick_ms:
+            return []
+        # A server that restarted since may have forgotten what it saw: not asked again.
+        able = [s for s in self._ready if s.member.up_since_ms <= ran.sent]
+        if cls.repeat_group is RepeatGroup.ALL:
+            return able
+        place = "zone" if cls.repeat_group is RepeatGroup.ZONE else "cell"
+        return [s for s in able if getattr(s.member, place) == getattr(ran.server.member, place)]
+
+    # ---- the ordinary path ----------------------------------------------------------------------
+
+    def _pick(self, request: _Request, now: float) -> _Server | None:
+        """Draw servers by capacity and take the one least loaded after this call."""
+        median = self._known_median(now)
+        able = self._harmless(request, now)
+        if now < self._cold_until:
+            able = [s for s in able if self._cold_room(s, now)]
+        if request.attempts:
+            tried = [a.server for a in request.attempts]
+            able = [s for s in able if s not in tried] or able
+        if not able:
+            return None
+        capacity = [self._capacity(s, median, now) for s in able]
+        # Of few calls our counts are mostly 0, and the fastest of four idle servers would always win: there
+        # an idle server in good standing ends the draws, and shares follow capacity, not a power of it.
+        sums = list(accumulate(capacity))
+        best, chosen = (math.inf, 0.0, 0.0), able[-1]
+        for _ in range(DRAWS):
+            i = min(bisect(sums, self._random.random() * sums[-1]), len(able) - 1)
+            load = ((able[i].in_flight + 1) / capacity[i], -capacity[i], self._random.random())
+            if load < best:
+                best, chosen = load, able[i]
+            if self._sliver and not able[i].in_flight and capacity[i] >= GOOD * median * able[i].size:
+                break
+        return chosen
+
+    def _capacity(self, server: _Server, median: float, now: float) -> float:
+        """c of the design: served calls over our time in flight there, leaning on the median."""
+        server.catch_up(now)
+        usual = median * server.size
+        estimate = (server.served + PRIOR_CALLS) / (server.busy + PRIOR_CALLS / usual)
+        warmth = self._warmth(server, now) if now < self._cold_until else 1.0
+        return min(estimate, usual * warmth) if warmth < 1 else estimate
+
+    def _known_median(self, now: float) -> float:
+        """The median of the known estimates; measures of the whole fleet are taken now and then only."""
+        if now - self._median_at >= RATE_MEMORY_MS / 4:
+            self._median_at = now
+            self._choose()
+            known = sorted(s.served / s.busy / s.size for s in self._ready if s.served > 0.5 and s.busy > 0)
+            if known:
+                self._median = known[len(known) // 2]
+        return self._median or 1.0
+
+    def _book(self, attempt: _Attempt, outcome: Outcome, cls: face.RequestClass, now: float) -> None:
+        """Count a served call; hold a failure's slot to its full time-out: it must not look idle."""
+        server = attempt.server
+        server.catch_up(now)
+        self._out_count -= 1
+        if outcome is Outcome.SERVED:
+            server.served += 1
+            server.heard = now
+            self._calls += 1
+            self._aims += cls.aim_ms
+            self._block_aims += cls.aim_ms
+            if self._calls >= BASE_CALLS and (not self._base or now - self._block_from >= RATE_MEMORY_MS):
+                self._mean = self._times / self._block_aims
+                self._base = min(self._base or math.inf, self._mean)
+                self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, now
+        elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and attempt.ends > now:
+            self._held_count += 1
+            heappush(self._held, (attempt.ends, self._held_count, server))
+            return
+        server.in_flight -= 1
+
+    def _release(self, now: float) -> None:
+        while self._held and self._held[0][0] <= now:
+            server = heappop(self._held)[2]
+            server.catch_up(now)
+            server.in_flight -= 1
+
+    def _warmth(self, server: _Server, now: float) -> float:
+        """The share of its capacity that a server has at the least, by its age."""
+        age = now - server.member.up_since_ms
+        if server.member.up_since_ms <= 0 or age >= self._settings.cold_ms:
+            return 1.0
+        start = self._settings.cold_from
+        return start + (1 - start) * max(age, 0.0) / self._settings.cold_ms
+
+    def _cold_room(self, server: _Server, now: float) -> bool:
+        """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
+        warmth = self._warmth(server, now)
+        rate = COLD_SAFETY * self._settings.cold_overload_factor * warmth * self._usual_rate
+        gap = now - server.last_sent
+        return warmth >= 1 or gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
