--- /dev/null
+++ b/passpost/__main__.py
@@ -0,0 +1,65 @@
+"""One balancer: `python -m passpost`, told by the environment where its configuration lies."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from passpost.config import Config, ConfigError, load
+from passpost.discovery import Discovery
+from passpost.engine import Engine
+from passpost.server import Server
+from passpost.upstream import Upstreams
+
+log = logging.getLogger("passpost")
+
+# Callers and upstreams get a part of the descriptors each; the rest is for the listening socket, discovery,
+# the loop, files, and sockets that are closed but not gone yet.
+CALLERS_SHARE, UPSTREAMS_SHARE = 0.4, 0.45
+
+
+async def serve(config: Config) -> None:
+    """Run until SIGTERM, then finish what was taken."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    upstreams = Upstreams(
+        config.connect_timeout, config.idle_timeout, max_open=int(config.sockets * UPSTREAMS_SHARE)
+    )
+    discovery = Discovery(config.discovery, config.known)
+    engine = Engine(config.settings, config.seed, upstreams, discovery.subscribe, config.answer_grace)
+    server = Server(engine, config.listen, max_open=int(config.sockets * CALLERS_SHARE))
+    upstreams.start()
+    discovery.start(engine.listed)
+    server.start()
+    log.info("%s serves on %s:%d", config.name, *config.listen)
+    await stop.wait()
+    log.info("stopping: finishing what was taken")
+    await server.drain()
+    discovery.stop()
+    upstreams.stop()
+
+
+def main() -> int:
+    """Start as the environment says; the result is the exit status."""
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = load(os.environ.get("EDGE_CONFIG", ""))
+        uvloop.run(serve(config))
+    except ConfigError as error:
+        print(f"passpost: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:  # most likely the address to listen on
+        print(f"passpost: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/passpost/config.py
@@ -0,0 +1,82 @@
+"""The configuration file as typed values."""
+
+from __future__ import annotations
+
+import json
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+from passpost.discovery import Listing, parse_address, parse_listing
+from passpost.http1 import Address
+from umberworks import wire
+from umberworks.interface import Settings
+
+log = logging.getLogger(__name__)
+
+
+class ConfigError(Exception):
+    """The configuration can't be used, with a plain reason."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What one balancer is told at its start; spans are in seconds."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Listing
+    settings: Settings
+    connect_timeout: float
+    idle_timeout: float
+    answer_grace: float
+
+
+def flatten(value: Any, path: str = "") -> wire.Fields:
+    """Settings as the simulator's first message spells them: one path=value for each plain value."""
+    if isinstance(value, dict):
+        prefix = path + "." if path else ""
+        return {k: v for name, item in value.items() for k, v in flatten(item, prefix + name).items()}
+    if isinstance(value, list):
+        if not any(isinstance(item, dict) for item in value):
+            return {path: ",".join(map(str, value))}
+        fields = {f"{path}.count": str(len(value))}
+        for i, item in enumerate(value):
+            fields |= flatten(item, f"{path}.{i}")
+        return fields
+    if isinstance(value, bool):
+        return {path: str(int(value))}
+    return {} if value is None else {path: str(value)}
+
+
+def load(path: str) -> Config:
+    """Read the file; raises ConfigError with one plain line on whatever is wrong with it."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return read(json.load(file))
+    except (OSError, ValueError, LookupError, TypeError, AttributeError) as error:
+        reason = f"{type(error).__name__}: {error}".replace("\n", " ")
+        raise ConfigError(f"configuration {path!r}: {reason}") from None
+
+
+def read(data: dict[str, Any]) -> Config:
+    """The file's object as typed values."""
+    facts = flatten(data["settings"])
+    sockets = int(data["limits"]["sockets"])
+    if sockets < 64:
+        raise ValueError(f"limits.sockets: {sockets} is too few to serve with")
+    return Config(
+        name=str(data["name"]),
+        listen=parse_address(data["listen"]),
+        discovery=parse_address(data["discovery"]),
+        seed=int(data["seed"], 16),
+        sockets=sockets,
+        known=parse_listing(data.get("known") or {"revision": 0, "complete": True, "members": []}),
+        settings=wire.read_settings(facts, log.warning),
+        connect_timeout=wire.number(facts, "limits.connectTimeout", 250.0) / 1000,
+        idle_timeout=wire.number(facts, "limits.connIdle", 15_000.0) / 1000,
+        answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
+    )
--- /dev/null
+++ b/passpost/discovery.py
@@ -0,0 +1,153 @@
+"""The list of upstreams: reads it, watches it, and tells of what changed."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import json
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
+from umberworks.interface import ListKind, ListUpdate, Member, Readiness
+
+log = logging.getLogger(__name__)
+
+WATCH_MS = 10_000  # how long a watch may wait: a silent discovery is noticed this late, plus the time-out
+CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
+MAX_LIST = 4 * 1024 * 1024
+
+_PATH = "/registry/instances"
+_PHASES = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One answer of discovery: members and their addresses, whole or only what changed."""
+
+    revision: int
+    complete: bool
+    members: tuple[Member, ...]
+    addresses: dict[str, Address]
+
+
+def parse_address(text: str) -> Address:
+    """An IP address and port; there is no DNS."""
+    host, _, port = text.rpartition(":")
+    host = host.strip("[]")
+    ipaddress.ip_address(host)
+    if not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} holds no port")
+    return host, int(port)
+
+
+def parse_listing(data: Any) -> Listing:
+    """A listing in discovery's form; raises ValueError, TypeError or LookupError if it is not one."""
+    members, addresses = [], {}
+    for entry in data["members"]:
+        phase = entry["phase"]
+        if phase not in _PHASES:
+            raise ValueError(f"phase {phase!r} has no meaning")
+        member = Member(
+            server=str(entry["id"]),
+            readiness=_PHASES[phase],
+            zone=str(entry.get("locality", "")),
+            cell=int(entry.get("cell", 0)),
+            size=float(entry.get("size", 1.0)),
+            up_since_ms=float(entry.get("up_since_ms", 0)),
+        )
+        if not math.isfinite(member.up_since_ms):
+            raise ValueError(f"{member.server!r} is up since {member.up_since_ms}")
+        members.append(member)
+        if member.readiness is not Readiness.GONE:
+            addresses[member.server] = parse_address(entry["host_port"])
+    return Listing(int(data["revision"]), bool(data["complete"]), tuple(members), addresses)
+
+
+class Discovery:
+    """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does."""
+
+    def __init__(self, address: Address, known: Listing) -> None:
+        self._address = address
+        self._known = known
+        self._revision: int | None = known.revision
+        self._addresses: dict[str, Address] = {}
+        self._tell: Callable[[ListUpdate, dict[str, Address]], None] = lambda update, addresses: None
+        self._task: asyncio.Task[None] | None = None
+        self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    def start(self, tell: Callable[[ListUpdate, dict[str, Address]], None]) -> None:
+        """Tell the saved list; what comes later goes to the same place."""
+        self._tell = tell
+        self._apply(self._known, ListKind.SAVED)
+
+    def subscribe(self) -> None:
+        """Follow the list from now on, until a call fails; the failure is told."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    def stop(self) -> None:
+        """Ask no more."""
+        if self._task is not None:
+            self._task.cancel()
+        self._hang_up()
+
+    async def _follow(self) -> None:
+        wait = 0  # the first answer comes at once, so that the module hears whether the list is back
+        try:
+            while True:
+                listing = await self._call(wait)
+                if wait == 0 or listing.complete or listing.members:
+                    kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
+                    self._apply(listing, kind)
+                self._revision = listing.revision
+                wait = WATCH_MS
+        except (OSError, TimeoutError, EOFError, BadAnswerError) as error:
+            log.warning("discovery: %s: %s", type(error).__name__, error)
+        except Exception as error:
+            # A bad answer must not empty or half change the list: the old one stands, asked for whole next.
+            log.warning("discovery: bad answer: %s: %s", type(error).__name__, error)
+            self._revision = None
+        finally:
+            self._hang_up()
+        self._task = None
+        self._tell(ListUpdate(ListKind.FAILED), self._addresses)
+
+    def _apply(self, listing: Listing, kind: ListKind) -> None:
+        kept = {} if listing.complete else self._addresses
+        left = {m.server for m in listing.members if m.readiness is Readiness.GONE}
+        self._addresses = {k: a for k, a in (kept | listing.addresses).items() if k not in left}
+        self._tell(ListUpdate(kind, listing.members), self._addresses)
+
+    async def _call(self, wait_ms: int) -> Listing:
+        target = _PATH if self._revision is None else f"{_PATH}?after={self._revision}&wait_ms={wait_ms}"
+        async with asyncio.timeout(wait_ms / 1000 + CALL_TIMEOUT):
+            answer = await self._get(target)
+        if answer.status != 200:
+            raise BadAnswerError(f"status {answer.status}")
+        listing = parse_listing(json.loads(answer.body))
+        if not listing.complete and (self._revision is None or listing.revision < self._revision):
+            raise ValueError(f"changes up to {listing.revision} do not follow on {self._revision}")
+        return listing
+
+    async def _get(self, target: str) -> Answer:
+        if self._stream is None or self._stream[0].at_eof():
+            self._hang_up()
+            self._stream = await asyncio.open_connection(*self._address)
+        reader, writer = self._stream
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode())
+        parser = AnswerReader(MAX_LIST)
+        while (data := await reader.read(65536)) != b"":
+            if (answer := parser.feed(data)) is not None:
+                if not answer.reusable:
+                    self._hang_up()
+                return answer
+        raise EOFError("the connection ended before the answer did")
+
+    def _hang_up(self) -> None:
+        if self._stream is not None:
+            self._stream[1].close()
+            self._stream = None
--- /dev/null
+++ b/passpost/engine.py
@@ -0,0 +1,232 @@
+"""Runs the decision module: happenings on sockets become its events, its actions become calls.
+
+No decision is made here. What the engine adds is the contract's other side: a clock that never goes back,
+one event at a time, exactly one outcome for each attempt and one answer for each request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from passpost.http1 import Address, Answer
+from passpost.upstream import Attempt, Outgoing, Upstreams
+from umberworks import interface as face
+from umberworks.interface import Outcome
+from umberworks.rules import Balancer
+
+log = logging.getLogger(__name__)
+
+
+class Caller(Protocol):
+    """Whoever waits for a request's one answer."""
+
+    def serve(self, answer: Answer) -> None:
+        """Pass on an upstream's answer."""
+
+    def refuse(self) -> None:
+        """Say that trying again is harmless."""
+
+    def fail(self, status: int) -> None:
+        """Say that it has failed."""
+
+
+class _Open:
+    """A request that the module has not heard the end of."""
+
+    def __init__(self, caller: Caller, outgoing: Outgoing, guard: asyncio.TimerHandle) -> None:
+        self.caller, self.outgoing, self.guard = caller, outgoing, guard
+        self.attempts: list[Attempt | None] = []
+        self.out = 0
+        self.finished = False  # answered, or the caller has gone
+        self.status = 502  # for a failure: 504 if the last attempt timed out
+
+
+class Engine:
+    """The one owner of the module, its clock, its timers and the open requests."""
+
+    def __init__(
+        self,
+        settings: face.Settings,
+        seed: int,
+        upstreams: Upstreams,
+        subscribe: Callable[[], None],
+        answer_grace: float,
+    ) -> None:
+        self._balancer = Balancer(settings, seed)
+        self._deadlines = {c.name: c.deadline_ms / 1000 for c in settings.classes}
+        self._keyed = {c.name for c in settings.classes if c.effect is face.Effect.KEYED}
+        self._upstreams, self._subscribe, self._grace = upstreams, subscribe, answer_grace
+        self._requests: dict[int, _Open] = {}
+        self._count = 0
+        self._events: deque[face.Event] = deque()
+        self._handling = False
+        # The module takes an `up_since_ms` of 0 or less for long ago and compares others with its clock: it
+        # needs Unix time. The system's clock may be set back, so that it is read only once.
+        self._epoch_ms = time.time() * 1000 - time.monotonic() * 1000
+        self._now = 0.0
+        self.has_upstreams = False
+
+    def now(self) -> float:
+        """The module's clock."""
+        self._now = max(self._now, self._epoch_ms + time.monotonic() * 1000)
+        return self._now
+
+    def deadline(self, class_name: str) -> float | None:
+        """The longest that a request of this class may take, in seconds; None for an unknown class."""
+        return self._deadlines.get(class_name)
+
+    def is_keyed(self, class_name: str) -> bool:
+        """Whether requests of this class carry the key by which repeats are dropped."""
+        return class_name in self._keyed
+
+    # ---- happenings
+
+    def listed(self, update: face.ListUpdate, addresses: dict[str, Address]) -> None:
+        """News of the list; the addresses come first, as the module may send at once."""
+        self._upstreams.route(addresses)
+        self.has_upstreams = self.has_upstreams or any(
+            m.readiness is face.Readiness.READY for m in update.members
+        )
+        self._post(update)
+
+    def arrived(
+        self, class_name: str, tenant: str | None, remaining: float, outgoing: Outgoing, caller: Caller
+    ) -> int:
+        """A request is there, with so many seconds to answer it; the result is its number."""
+        self._count += 1
+        number = self._count
+        guard = asyncio.get_running_loop().call_later(remaining + self._grace, self._overdue, number)
+        self._requests[number] = _Open(caller, outgoing, guard)
+        self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant))
+        return number
+
+    def left(self, number: int) -> None:
+        """The caller has gone."""
+        request = self._requests.get(number)
+        if request is not None and self._finish(number, request):
+            self._post(face.ClientLeft(number))
+
+    def _overdue(self, number: int) -> None:
+        """The module owes an answer in time; should it ever miss one, the caller still gets it."""
+        log.error("request %d had no answer in time", number)
+        self._abandon(number, 504)
+
+    def _abandon(self, number: int, status: int) -> None:
+        """Fail a request without the module, which is told that nothing more is owed."""
+        request = self._requests.get(number)
+        if request is not None and self._finish(number, request):
+            request.caller.fail(status)
+            self._post(face.ClientLeft(number))
+
+    # ---- the module
+
+    def _post(self, event: face.Event) -> None:
+        """Hand over an event; those that come up while one is handled wait for their turn."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: face.Event) -> None:
+        # A fault in one request must fail that request only: the others and the process go on.
+        try:
+            actions = self._balancer.handle(event, self.now())
+        except Exception:
+            log.exception("the module failed on %s", type(event).__name__)
+            self._fault(event)
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                log.exception("could not carry out %s", type(action).__name__)
+                self._fault(action)
+
+    def _fault(self, cause: face.Event | face.Action) -> None:
+        number = getattr(cause, "request", None)
+        if number is not None:
+            self._abandon(number, 500)
+
+    def _carry_out(self, action: face.Action) -> None:
+        match action:
+            case face.Send():
+                self._send(action)
+            case face.SetTimer(at, token):
+                delay = max(at - self.now(), 0.0) / 1000
+                asyncio.get_running_loop().call_later(delay, self._due, at, token)
+            case face.Cancel(number, index):
+                request = self._requests.get(number)
+                if request is not None and (attempt := request.attempts[index]) is not None:
+                    attempt.cancel()
+            case face.Refuse(number):
+                request = self._requests.get(number)
+                if request is not None and self._finish(number, request):
+                    request.caller.refuse()
+            case face.Fail(number):
+                request = self._requests.get(number)
+                if request is not None and self._finish(number, request):
+                    request.caller.fail(request.status)
+            case face.Subscribe():
+                self._subscribe()
+            case face.Log(text):
+                log.info("%s", text)
+
+    def _due(self, at: float, token: str) -> None:
+        self._now = max(self._now, at)  # the loop's timers are coarse and may be a little early
+        self._post(face.TimerDue(token))
+
+    def _send(self, action: face.Send) -> None:
+        number, server = action.request, action.server
+        request = self._requests[number]
+        index = len(request.attempts)
+        request.attempts.append(None)
+        request.out += 1
+
+        def done(outcome: Outcome, answer: Answer | None) -> None:
+            self._ended(number, request, index, server, outcome, answer)
+
+        if request.finished:  # nothing may be sent after the final answer
+            done(Outcome.NOT_SENT, None)
+            return
+        attempt = self._upstreams.send(server, request.outgoing, action.timeout_ms / 1000, done)
+        if not attempt.is_over():
+            request.attempts[index] = attempt
+
+    def _ended(
+        self, number: int, request: _Open, index: int, server: str, outcome: Outcome, answer: Answer | None
+    ) -> None:
+        request.attempts[index] = None
+        request.out -= 1
+        request.status = 504 if outcome is Outcome.TIMED_OUT else 502
+        try:
+            if outcome is Outcome.SERVED and answer is not None and self._finish(number, request):
+                request.caller.serve(answer)
+        finally:  # the module is owed the outcome, whatever became of the answer
+            self._forget_if_over(number, request)
+            self._post(face.AttemptEnded(number, index, server, outcome, request.finished))
+
+    def _finish(self, number: int, request: _Open) -> bool:
+        """Note the end of a request; True the first time, which is when its answer goes out."""
+        if request.finished:
+            return False
+        request.finished = True
+        request.guard.cancel()
+        for attempt in request.attempts:
+            if attempt is not None and not attempt.is_written():
+                attempt.end(Outcome.NOT_SENT)  # nothing may be sent after the final answer
+        self._forget_if_over(number, request)
+        return True
+
+    def _forget_if_over(self, number: int, request: _Open) -> None:
+        if request.finished and not request.out:
+            self._requests.pop(number, None)
--- /dev/null
+++ b/passpost/http1.py
@@ -0,0 +1,118 @@
+"""HTTP/1.1 messages as both sides of the balancer use them, on top of httptools' parser."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import httptools
+
+Address = tuple[str, int]
+Headers = list[tuple[bytes, bytes]]
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024  # the protocol's bound, for requests and answers alike
+
+_HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
+    b"transfer-encoding upgrade expect content-length".split()
+)
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """The headers that a proxy passes on; framing and connection headers are each hop's own."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    return [(n, v) for n, v in headers if (low := n.lower()) not in _HOP_BY_HOP and low not in named]
+
+
+def write_headers(headers: Headers) -> bytes:
+    """Header lines, each with its line end."""
+    return b"".join([b"%b: %b\r\n" % pair for pair in headers])
+
+
+class BadAnswerError(Exception):
+    """What came is no answer, or one beyond the bounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One whole answer; `reusable` says that its connection can carry another request."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    reusable: bool
+
+
+class AnswerReader:
+    """Reads the one answer that is due on a connection.
+
+    An answer that ends only with its connection is never whole: nothing tells it from one cut short.
+    """
+
+    def __init__(self, max_body: int = MAX_BODY) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._max_body = max_body
+        self._head_size, self._head_done = 0, False
+        self._headers: Headers = []
+        self._body = bytearray()
+        self._whole: Answer | None = None
+        self._surplus = False
+
+    def feed(self, data: bytes) -> Answer | None:
+        """The answer once it is whole; raises BadAnswerError on anything that can't become one."""
+        if not self._head_done:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if self._whole is None:
+                raise BadAnswerError(str(error)) from None
+            self._surplus = True
+        if self._whole is None:
+            if not self._head_done and self._head_size > MAX_HEAD:
+                raise BadAnswerError("the head is too long")
+            self._check_body(self._body)
+            return None
+        self._check_body(self._whole.body)
+        if self._surplus:  # the answer is good, but what follows it belongs to no request
+            return Answer(self._whole.status, self._whole.headers, self._whole.body, False)
+        return self._whole
+
+    def _check_body(self, body: bytes | bytearray) -> None:
+        if len(body) > self._max_body:
+            raise BadAnswerError("the body is too long")
+
+    # ---- httptools' callbacks
+
+    def on_message_begin(self) -> None:
+        """A second message behind the answer is surplus."""
+        self._surplus = self._whole is not None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header, or a trailer, which nobody needs."""
+        if not self._head_done:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """The head is there."""
+        self._head_done = True
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body; one piece past the bound is enough to know."""
+        if len(self._body) <= self._max_body and self._whole is None:
+            self._body += data
+
+    def on_message_complete(self) -> None:
+        """The answer is whole, unless it is a 1xx, which only announces it."""
+        status = self._parser.get_status_code()
+        if self._whole is not None:
+            return
+        if status >= 200:
+            keep = self._parser.should_keep_alive()
+            self._whole = Answer(status, self._headers, bytes(self._body), keep)
+        self._headers, self._head_done = [], False
--- /dev/null
+++ b/passpost/upstream.py
@@ -0,0 +1,285 @@
+"""The upstreams' side: connections, attempts on them, and how each attempt ended.
+
+Nothing is ever sent a second time from here: every attempt is one that the module asked for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
+from umberworks.interface import Outcome
+
+log = logging.getLogger(__name__)
+
+IDLE_SHARE = 0.5  # of the upstream's idle time after which we close: a request must not cross its close
+SWEEP_S = 1.0
+
+Done = Callable[[Outcome, Answer | None], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A request as it goes on, but for the time left, which is known when it is written."""
+
+    head: bytes
+    body: bytes
+
+    def write(self, remaining: float) -> bytes:
+        """The bytes for the wire."""
+        return b"%bX-Remaining: %.3f\r\n\r\n%b" % (self.head, remaining, self.body)
+
+
+class Attempt:
+    """One attempt; it ends exactly once, with the outcome that `done` is told."""
+
+    def __init__(self, request: Outgoing, timeout: float, done: Done) -> None:
+        loop = asyncio.get_running_loop()
+        self.request = request
+        self.connection: _Connection | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self._ends = time.monotonic() + timeout
+        self._timer = loop.call_later(timeout, self._timed_out)
+        self._done: Done | None = done
+
+    def remaining(self) -> float:
+        """How long we still wait, in seconds."""
+        return max(self._ends - time.monotonic(), 0.0)
+
+    def is_over(self) -> bool:
+        """Whether the outcome has been told."""
+        return self._done is None
+
+    def is_written(self) -> bool:
+        """Whether the last byte has gone out, so that it may have run."""
+        return self.connection is not None and not self.connection.unwritten
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        """Tell the outcome, once; a connection that still waits for the answer is of no further use."""
+        if self._done is None:
+            return
+        done, self._done = self._done, None
+        self._timer.cancel()
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.connection is not None:
+            self.connection.drop()
+        done(outcome, answer)
+
+    def cancel(self) -> None:
+        """Stop waiting for it."""
+        self.end(Outcome.CANCELLED)
+
+    def _timed_out(self) -> None:
+        self.end(Outcome.TIMED_OUT if self.is_written() else Outcome.UNREACHED)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection to an upstream; carries one attempt at a time."""
+
+    def __init__(self, upstream: _Upstream, pool: Upstreams) -> None:
+        self._upstream, self._pool = upstream, pool
+        self._attempt: Attempt | None = None
+        self._reader: AnswerReader | None = None
+        self._transport: asyncio.Transport | None = None
+        self.unwritten = True
+        self.idle_since = 0.0
+
+    def carry(self, attempt: Attempt) -> None:
+        """Write the attempt's request."""
+        assert self._transport is not None
+        self._attempt, self._reader = attempt, AnswerReader()
+        attempt.connection = self
+        self.unwritten = False  # the transport says at once if it could not write it all: see pause_writing
+        self._transport.write(attempt.request.write(attempt.remaining()))
+
+    def is_closing(self) -> bool:
+        """Whether it is on its way out, though connection_lost has not come yet."""
+        return self._transport is None or self._transport.is_closing()
+
+    def drop(self) -> None:
+        """Close at once; an attempt on it has been told its end."""
+        self._attempt, self._reader = None, None
+        self._pool.forget(self, self._upstream)
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- asyncio's callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """With a high-water mark of 0, pause_writing tells of every byte that has not gone out yet."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
+        self._transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        """Part of the request is still with us: the upstream can't have begun it."""
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        """The last byte has gone out."""
+        self.unwritten = False
+
+    def data_received(self, data: bytes) -> None:
+        """A piece of the answer; without an attempt it is stray, and the connection can't be trusted."""
+        attempt, reader = self._attempt, self._reader
+        if attempt is None or reader is None:
+            self.drop()
+            return
+        try:
+            answer = reader.feed(data)
+        except BadAnswerError as error:
+            log.warning("upstream %s: bad answer: %s", self._upstream.name, error)
+            attempt.end(Outcome.BROKEN)
+            return
+        if answer is None:
+            return
+        reusable = answer.reusable and not self.unwritten
+        if reusable:
+            self._attempt, self._reader, attempt.connection = None, None, None
+            self._pool.rest(self, self._upstream)
+        attempt.end(_outcome(answer), answer)
+
+    def eof_received(self) -> None:
+        """The upstream has closed: an idle connection must not be used again, an answer is cut short."""
+        self._ended()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """As eof_received."""
+        self._ended()
+
+    def _ended(self) -> None:
+        if self._attempt is not None:
+            self._attempt.end(Outcome.UNREACHED if self.unwritten else Outcome.BROKEN)
+        else:
+            self.drop()
+
+
+def _outcome(answer: Answer) -> Outcome:
+    """What an answer means, by the protocol's table."""
+    if answer.status == 200:
+        return Outcome.SERVED
+    if answer.status in (503, 504):
+        away = any(n.lower() == b"x-turned-away" and v.strip() == b"1" for n, v in answer.headers)
+        return Outcome.TURNED_AWAY if away else Outcome.ERROR
+    return Outcome.ERROR
+
+
+class _Upstream:
+    """One upstream's address and connections."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name, self.address = name, address
+        self.idle: list[_Connection] = []  # the most recently used last
+        self.open: set[_Connection] = set()
+
+
+class Upstreams:
+    """All upstreams by name, and the connections to them, of which there are `max_open` at most."""
+
+    def __init__(self, connect_timeout: float, idle_timeout: float, max_open: int) -> None:
+        self._connect_timeout = connect_timeout
+        self._idle_limit = idle_timeout * IDLE_SHARE
+        self._max_open = max_open
+        self._upstreams: dict[str, _Upstream] = {}
+        self._open = 0
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to close idle connections in time."""
+        self._sweep()
+
+    def stop(self) -> None:
+        """Close everything."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self.route({})
+
+    def route(self, addresses: dict[str, Address]) -> None:
+        """Take over a list; upstreams that left it or moved lose their idle connections."""
+        for name, upstream in list(self._upstreams.items()):
+            if addresses.get(name) != upstream.address:
+                del self._upstreams[name]  # attempts that are out go on
+                for connection in list(upstream.idle):
+                    connection.drop()
+        for name, address in addresses.items():
+            if name not in self._upstreams:
+                self._upstreams[name] = _Upstream(name, address)
+
+    def send(self, server: str, request: Outgoing, timeout: float, done: Done) -> Attempt:
+        """Make one attempt; `done` is told its outcome once, later or at once."""
+        attempt = Attempt(request, timeout, done)
+        upstream = self._upstreams.get(server)
+        if upstream is None:
+            attempt.end(Outcome.NOT_SENT)
+            return attempt
+        while upstream.idle and upstream.idle[-1].is_closing():
+            upstream.idle[-1].drop()
+        if upstream.idle:
+            upstream.idle.pop().carry(attempt)
+        elif self._has_room():
+            connection = _Connection(upstream, self)
+            upstream.open.add(connection)
+            self._open += 1
+            attempt.connecting = asyncio.get_running_loop().create_task(
+                self._connect(connection, upstream, attempt)
+            )
+        else:
+            log.warning("no descriptor left for a connection to %s", server)
+            attempt.end(Outcome.UNREACHED)
+        return attempt
+
+    def rest(self, connection: _Connection, upstream: _Upstream) -> None:
+        """Keep a connection for the next attempt, unless its upstream has left or moved."""
+        if self._upstreams.get(upstream.name) is not upstream:
+            connection.drop()
+            return
+        connection.idle_since = time.monotonic()
+        upstream.idle.append(connection)
+
+    def forget(self, connection: _Connection, upstream: _Upstream) -> None:
+        """A connection is over."""
+        if connection in upstream.open:
+            upstream.open.remove(connection)
+            self._open -= 1
+            if connection in upstream.idle:
+                upstream.idle.remove(connection)
+
+    async def _connect(self, connection: _Connection, upstream: _Upstream, attempt: Attempt) -> None:
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                await asyncio.get_running_loop().create_connection(lambda: connection, *upstream.address)
+        except (OSError, TimeoutError):
+            connection.drop()
+            attempt.connecting = None
+            attempt.end(Outcome.UNREACHED)
+        except asyncio.CancelledError:  # the attempt has ended
+            connection.drop()
+        else:
+            attempt.connecting = None
+            if attempt.is_over():
+                connection.drop()
+            else:
+                connection.carry(attempt)
+
+    def _has_room(self) -> bool:
+        """Whether another connection may be opened; the one idle for longest gives way."""
+        if self._open < self._max_open:
+            return True
+        oldest = min(
+            (u.idle[0] for u in self._upstreams.values() if u.idle), key=lambda c: c.idle_since, default=None
+        )
+        if oldest is not None:
+            oldest.drop()
+        return oldest is not None
+
+    def _sweep(self) -> None:
+        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+        limit = time.monotonic() - self._idle_limit
+        for upstream in self._upstreams.values():
+            while upstream.idle and upstream.idle[0].idle_since < limit:
+                upstream.idle[0].drop()
