Tests over loopback sockets for each side, and two faults that they found

A drain at the limit keeps the queue until it is empty. - Many short header lines passed the bound on heads, which counted names and values only; each line now counts whole.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -23,27 +23,39 @@
 CALLERS_SHARE, UPSTREAMS_SHARE = 0.4, 0.45
 
 
+class Node:
+    """The parts of one balancer, wired together and started."""
+
+    def __init__(self, config: Config) -> None:
+        self.upstreams = Upstreams(
+            config.connect_timeout, config.idle_timeout, max_open=int(config.sockets * UPSTREAMS_SHARE)
+        )
+        self.discovery = Discovery(config.discovery, config.known)
+        self.engine = Engine(
+            config.settings, config.seed, self.upstreams, self.discovery.subscribe, config.answer_grace
+        )
+        self.server = Server(self.engine, config.listen, max_open=int(config.sockets * CALLERS_SHARE))
+        self.upstreams.start()
+        self.discovery.start(self.engine.listed)
+        self.server.start()
+
+    async def stop(self) -> None:
+        """Finish what was taken, then close everything."""
+        await self.server.drain()
+        self.discovery.stop()
+        self.upstreams.stop()
+
+
 async def serve(config: Config) -> None:
-    """Run until SIGTERM, then finish what was taken."""
+    """Run until SIGTERM."""
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    upstreams = Upstreams(
-        config.connect_timeout, config.idle_timeout, max_open=int(config.sockets * UPSTREAMS_SHARE)
-    )
-    discovery = Discovery(config.discovery, config.known)
-    engine = Engine(config.settings, config.seed, upstreams, discovery.subscribe, config.answer_grace)
-    server = Server(engine, config.listen, max_open=int(config.sockets * CALLERS_SHARE))
-    upstreams.start()
-    discovery.start(engine.listed)
-    server.start()
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    node = Node(config)
     log.info("%s serves on %s:%d", config.name, *config.listen)
     await stop.wait()
     log.info("stopping: finishing what was taken")
-    await server.drain()
-    discovery.stop()
-    upstreams.stop()
+    await node.stop()
 
 
 def main() -> int:
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -25,6 +25,7 @@
 LINGER_S = 2.0  # an error is left this long to be read before its connection goes
 SWEEP_S = 1.0
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
+DRAIN_STEP_S = 0.02
 LAST_LOOK_S = 0.2  # for the requests on connections taken at the very end
 
 _REASONS = {
@@ -140,7 +141,7 @@
     def on_headers_complete(self) -> None:
         """The head is there; what its length promises may be too much already."""
         self._in_head, self._head_size = False, 0
-        if sum(len(n) + len(v) for n, v in self._headers) + len(self._target) > MAX_HEAD:
+        if sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target) > MAX_HEAD:
             self._bad = self._bad or 431
         for name, value in self._headers:
             low = name.lower()
@@ -294,7 +295,8 @@
 
     def is_idle(self) -> bool:
         """Whether no request is open or being read."""
-        return self._current is None and not self._waiting and not self._reading and not self._head_size
+        quiet = self._current is None and not self._waiting and not self._reading and not self._head_size
+        return quiet and self._transport is not None
 
     def close(self) -> None:
         """Close between requests."""
@@ -355,7 +357,8 @@
         """
         self.draining = True
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-        self._accept()
+        while not self._accept():
+            await asyncio.sleep(DRAIN_STEP_S)  # all connections are busy: each one that ends lets one in
         self._pause()
         self._socket.close()
         await asyncio.sleep(LAST_LOOK_S)
@@ -363,7 +366,7 @@
             for connection in list(self._connections):
                 if connection.is_idle():
                     connection.close()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(DRAIN_STEP_S)
         if self._sweeper is not None:
             self._sweeper.cancel()
 
@@ -377,26 +380,29 @@
             self._accepting = False
             asyncio.get_running_loop().remove_reader(self._socket)
 
-    def _accept(self) -> None:
-        """Take what waits; at the limit the connection idle for longest makes room, or the queue waits."""
-        while True:
-            if len(self._connections) >= self._max_open and not self._close_oldest_idle():
-                self._pause()
-                return
+    def _accept(self) -> bool:
+        """Take what waits, and say whether that was all.
+
+        At the limit the connection idle for longest makes room; if none is idle, the queue waits.
+        """
+        while len(self._connections) < self._max_open or any(c.is_idle() for c in self._connections):
             try:
                 client, _ = self._socket.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:  # no descriptor left, or the caller has gone already
                 log.warning("accept: %s", error)
-                self._pause()  # the sweep tries again
-                return
+                break  # the sweep tries again
+            if len(self._connections) >= self._max_open:
+                self._close_oldest_idle()  # not before another is there: see the loop's condition
             client.setblocking(False)
             connection = _Connection(self)
             self._connections.add(connection)
             task = asyncio.get_running_loop().create_task(self._adopt(client, connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        self._pause()
+        return False
 
     async def _adopt(self, client: socket.socket, connection: _Connection) -> None:
         try:
@@ -406,14 +412,10 @@
             client.close()
             self.forget(connection)
 
-    def _close_oldest_idle(self) -> bool:
-        idle = [c for c in self._connections if c.is_idle()]
-        if not idle:
-            return False
-        oldest = min(idle, key=lambda c: c.since)
+    def _close_oldest_idle(self) -> None:
+        oldest = min((c for c in self._connections if c.is_idle()), key=lambda c: c.since)
         self._connections.discard(oldest)
         oldest.close()
-        return True
 
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,211 @@
+"""What the socket tests share: a balancer on ephemeral loopback ports, and its neighbours' sides.
+
+Nothing here waits for a stretch of time to pass: everything waits for what it expects, up to PATIENCE.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import uvloop
+
+from passpost import config
+from passpost.__main__ import Node
+from passpost.http1 import Answer, AnswerReader
+
+PATIENCE = 20.0  # a hanging test fails in the end; no test depends on the figure
+
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE):
+            await test
+
+    uvloop.run(bounded())
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+@dataclass
+class Got:
+    """A request as an upstream sees it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_request(reader: Reader) -> Got | None:
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    line, *rest = head.strip().split("\r\n")
+    headers = {k.lower(): v for k, v in (item.split(": ", 1) for item in rest)}
+    return Got(line, headers, await reader.readexactly(int(headers.get("content-length", 0))))
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+AWAY = b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class FakeServer:
+    """Listens on an ephemeral port and answers by a script: `reply(request, writer)`."""
+
+    def __init__(self, reply: Callable[[Got, Writer], Awaitable[None]] | bytes = OK) -> None:
+        self.reply = reply
+        self.got: list[Got] = []
+        self.connections = 0
+        self.closed = 0
+        self.writers: list[Writer] = []
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.host_port = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                self.got.append(request)
+                if isinstance(self.reply, bytes):
+                    writer.write(self.reply)
+                else:
+                    await self.reply(request, writer)
+        finally:
+            self.closed += 1
+            writer.close()
+
+    def stop(self) -> None:
+        self._server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+async def silent(request: Got, writer: Writer) -> None:
+    """Take a request and answer nothing."""
+
+
+def member(name: str, host_port: str, phase: str = "active", **more: Any) -> dict[str, Any]:
+    return {"id": name, "host_port": host_port, "locality": "a", "cell": 0, "phase": phase} | more
+
+
+def listing(revision: int, *members: dict[str, Any], complete: bool = True) -> dict[str, Any]:
+    return {"revision": revision, "complete": complete, "members": list(members)}
+
+
+def answer_json(data: Any) -> bytes:
+    body = json.dumps(data).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def _class(name: str, effect: str) -> dict[str, Any]:
+    return {
+        "name": name,
+        "target": 10_000.0,
+        "deadline": 10_000.0,
+        "effect": effect,
+        "repeatWindow": 5_000.0,
+        "lateShare": 0.5,
+    }
+
+
+def config_data(members: list[dict[str, Any]], discovery: str = "127.0.0.1:1") -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "8c1f30d2",
+        "limits": {"sockets": 256, "memory_mb": 192, "cores": 1.0},
+        "known": listing(1, *members),
+        "settings": {
+            "classes": [_class("read", "retryable"), _class("order", "dedup"), _class("pay", "fragile")],
+            "limits": {
+                "attemptsCap": 4,
+                "mayCancel": True,
+                "retryAfter": True,
+                "maxRetryAfter": 1_500.0,
+                "connectTimeout": 5_000.0,
+                "connIdle": 30_000.0,
+            },
+            "contract": {"graceToAnswer": 16.0},
+            "discovery": "push",
+        },
+    }
+
+
+class Client:
+    """One caller's connection."""
+
+    def __init__(self, reader: Reader, writer: Writer) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(
+        self, target: str = "/read", method: str = "GET", body: bytes = b"", **headers: str | None
+    ) -> None:
+        fields: dict[str, str | None] = {"X-Txn": "t1", "X-Remaining": "9.0", **headers}
+        lines = "".join(f"{k.replace('_', '-')}: {v}\r\n" for k, v in fields.items() if v is not None)
+        data = f"{method} {target} HTTP/1.1\r\nHost: b\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode()
+        self.writer.write(data + body)
+
+    async def answer(self) -> Answer | None:
+        """The next answer; None if the connection ended instead."""
+        parser = AnswerReader()
+        while (data := await self.reader.read(65536)) != b"":
+            if (answer := parser.feed(data)) is not None:
+                return answer
+        return None
+
+    async def ask(self, target: str = "/read", **more: Any) -> Answer | None:
+        self.send(target, **more)
+        return await self.answer()
+
+
+class Balancer:
+    """A balancer and whoever talks to it."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self._writers: list[Writer] = []
+
+    async def connect(self) -> Client:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.node.server.port)
+        self._writers.append(writer)
+        return Client(reader, writer)
+
+    def hang_up(self) -> None:
+        for writer in self._writers:
+            writer.close()
+
+
+@asynccontextmanager
+async def balancer(
+    *upstreams: FakeServer,
+    discovery: str = "127.0.0.1:1",
+    change: Callable[[dict[str, Any]], None] = lambda data: None,
+) -> AsyncIterator[Balancer]:
+    for upstream in upstreams:
+        await upstream.start()
+    data = config_data([member(f"s{i}", u.host_port) for i, u in enumerate(upstreams)], discovery)
+    change(data)
+    started = Balancer(Node(config.read(data)))
+    try:
+        yield started
+    finally:
+        started.hang_up()
+        started.node.discovery.stop()
+        started.node.upstreams.stop()
+        for upstream in upstreams:
+            upstream.stop()
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,152 @@
+"""Discovery over loopback sockets, and what the module is told of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from passpost import discovery as module
+from passpost.discovery import Discovery, parse_address, parse_listing
+from passpost.http1 import Address
+from tests.loopback import FakeServer, Got, Writer, answer_json, balancer, listing, member, run, until
+from umberworks.interface import ListKind, ListUpdate, Readiness
+
+SAVED = listing(1, member("a", "127.0.0.1:1001"), member("b", "127.0.0.1:1002"))
+
+
+class Script:
+    """Answers call by call; the last watch waits for good."""
+
+    def __init__(self, *replies: bytes) -> None:
+        self.replies = list(replies)
+
+    async def __call__(self, request: Got, writer: Writer) -> None:
+        if self.replies:
+            writer.write(self.replies.pop(0))
+
+
+class Heard:
+    """What a discovery has told."""
+
+    def __init__(self) -> None:
+        self.kinds: list[ListKind] = []
+        self.updates: list[ListUpdate] = []
+        self.addresses: dict[str, Address] = {}
+
+    def __call__(self, update: ListUpdate, addresses: dict[str, Address]) -> None:
+        self.kinds.append(update.kind)
+        self.updates.append(update)
+        self.addresses = addresses
+
+
+@asynccontextmanager
+async def following(*replies: bytes) -> AsyncIterator[tuple[FakeServer, Discovery, Heard]]:
+    server, heard = FakeServer(Script(*replies)), Heard()
+    await server.start()
+    discovery = Discovery(parse_address(server.host_port), parse_listing(SAVED))
+    discovery.start(heard)
+    discovery.subscribe()
+    try:
+        yield server, discovery, heard
+    finally:
+        discovery.stop()
+        server.stop()
+
+
+def test_changes_whole_lists_and_what_has_left() -> None:
+    async def test() -> None:
+        replies = (
+            listing(1, complete=False),
+            listing(4, member("b", "127.0.0.1:2002"), member("c", "127.0.0.1:1003"), complete=False),
+            listing(5, member("a", "", "left"), member("c", "127.0.0.1:1003", "leaving"), complete=False),
+            listing(9, member("d", "127.0.0.1:1004")),
+        )
+        async with following(*map(answer_json, replies)) as (server, _, heard):
+            await until(lambda: len(server.got) == 5)
+            assert heard.kinds == [
+                ListKind.SAVED,
+                ListKind.CHANGES,
+                ListKind.CHANGES,
+                ListKind.CHANGES,
+                ListKind.WHOLE,
+            ]
+            assert [m.readiness for m in heard.updates[3].members] == [Readiness.GONE, Readiness.DRAINING]
+            assert heard.addresses == {"d": ("127.0.0.1", 1004)}
+            # Each call follows on what the last one told, on one connection, and only watches wait.
+            watches = [
+                f"GET /registry/instances?after={n}&wait_ms={w} HTTP/1.1"
+                for n, w in ((1, 0), (1, 10_000), (4, 10_000), (5, 10_000), (9, 10_000))
+            ]
+            assert [got.line for got in server.got] == watches
+            assert server.connections == 1
+
+    run(test())
+
+
+def test_an_address_may_change_under_the_same_id() -> None:
+    async def test() -> None:
+        moved = listing(2, member("a", "127.0.0.1:3001"), complete=False)
+        async with following(answer_json(moved)) as (server, _, heard):
+            await until(lambda: len(server.got) == 2)
+            assert heard.addresses == {"a": ("127.0.0.1", 3001), "b": ("127.0.0.1", 1002)}
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n",
+        b"noise\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}}",
+        answer_json([]),
+        answer_json({"revision": 2, "complete": True}),
+        answer_json(listing(2, member("a", "127.0.0.1:1"), {"id": "b"})),
+        answer_json(listing(2, member("a", "nowhere"))),
+        answer_json(listing(2, member("a", "127.0.0.1:1", "asleep"))),
+        answer_json(listing(2, member("a", "127.0.0.1:1", size=0))),
+        answer_json(listing(2, member("a", "127.0.0.1:1", up_since_ms=float("nan")))),
+        answer_json(listing(0, complete=False)),
+    ],
+)
+def test_a_bad_answer_counts_as_failed_and_leaves_the_list(reply: bytes) -> None:
+    async def test() -> None:
+        async with following(reply, answer_json(SAVED)) as (_, discovery, heard):
+            await until(lambda: len(heard.kinds) == 2)
+            assert heard.kinds == [ListKind.SAVED, ListKind.FAILED]
+            assert set(heard.addresses) == {"a", "b"}
+            discovery.subscribe()  # when the module asks again, it works again
+            await until(lambda: len(heard.kinds) == 3)
+            assert heard.kinds[2] is ListKind.WHOLE
+
+    run(test())
+
+
+def test_silence_ends_in_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "CALL_TIMEOUT", 0.05)
+
+    async def test() -> None:
+        async with following() as (server, _, heard):
+            await until(lambda: heard.kinds == [ListKind.SAVED, ListKind.FAILED])
+            await until(lambda: server.closed == server.connections)
+
+    run(test())
+
+
+def test_with_discovery_down_at_the_start_the_saved_list_serves() -> None:
+    def ask(data: dict[str, Any]) -> None:
+        data["settings"]["discovery"] = "ask"
+
+    async def test() -> None:
+        async with balancer(FakeServer(), change=ask) as b:  # nobody listens where discovery should be
+            await asyncio.sleep(0)
+            client = await b.connect()
+            for target in ("/health/ready", "/read"):
+                answer = await client.ask(target)
+                assert answer is not None and answer.status == 200
+
+    run(test())
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,313 @@
+"""The callers' side over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from passpost import server
+from tests.loopback import (
+    OK,
+    FakeServer,
+    Got,
+    Writer,
+    balancer,
+    config_data,
+    member,
+    run,
+    silent,
+    until,
+)
+from umberworks.interface import RequestArrived
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
+    async def test() -> None:
+        upstream = FakeServer(OK.replace(b"\r\n\r\n", b"\r\nContent-Type: image/png\r\n\r\n"))
+        async with balancer(upstream) as b:
+            client = await b.connect()
+            body = bytes(range(256)) * 256
+            answer = await client.ask(
+                "/order?key=7f&x=%20", method="POST", body=body, Idempotency_Key="k9", X_Org="acme"
+            )
+            assert answer is not None and (answer.status, answer.body) == (200, b"ok")
+            assert (b"Content-Type", b"image/png") in answer.headers
+            got = upstream.got[0]
+            assert got.line == "POST /order?key=7f&x=%20 HTTP/1.1"
+            assert got.body == body
+            assert (got.headers["x-txn"], got.headers["idempotency-key"]) == ("t1", "k9")
+            assert 0 < float(got.headers["x-remaining"]) <= 9.0
+
+    run(test())
+
+
+def test_bytes_may_be_split_anywhere_and_connections_are_kept() -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with balancer(upstream) as b:
+            client = await b.connect()
+            for _ in range(2):
+                data = b"GET /read HTTP/1.1\r\nX-Txn: a\r\nHost: b\r\n\r\n"
+                for i in range(len(data)):
+                    client.writer.write(data[i : i + 1])
+                    await asyncio.sleep(0)
+                answer = await client.answer()
+                assert answer is not None and answer.status == 200 and answer.reusable
+
+    run(test())
+
+
+def test_requests_sent_ahead_are_answered_in_turn() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            for target in ("/read", "/nowhere", "/read"):
+                client.send(target)
+            seen = b""
+            while seen.count(b"HTTP/1.1 ") < 3 or not seen.endswith(b"ok"):
+                seen += await client.reader.read(65536)
+            assert [part[:3] for part in seen.split(b"HTTP/1.1 ")[1:]] == [b"200", b"404", b"200"]
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nHost: b\r\n\r\n", 400),  # no id
+        (b"GET /read HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: soon\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: nan\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: -1\r\n\r\n", 504),
+        (b"POST /order HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 0\r\n\r\n", 400),  # keyed, with no key
+        (b"POST /pay HTTP/1.1\r\nX-Txn: a\r\nContent-Length: -5\r\n\r\n", 400),
+        (b"POST /pay HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST /pay HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 65537\r\n\r\n", 413),
+        (
+            b"POST /pay HTTP/1.1\r\nX-Txn: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537,
+            413,
+        ),
+        (b"GET /read HTTP/1.1\r\nX-Txn: a\r\nX-Long: " + b"x" * 20_000, 431),
+        (b"GET /read HTTP/1.1\r\nX-Txn: a\r\n" + b"A: b\r\n" * 4_000 + b"\r\n", 431),
+        (b"GET /" + b"x" * 20_000, 431),
+        (b"GET /nowhere HTTP/1.1\r\nX-Txn: a\r\n\r\n", 404),
+        (b"DELETE /read HTTP/1.1\r\nX-Txn: a\r\n\r\n", 405),
+    ],
+)
+def test_what_is_malformed_gets_an_error_and_reaches_no_upstream(raw: bytes, status: int) -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with balancer(upstream) as b:
+            bad, good = await b.connect(), await b.connect()
+            bad.writer.write(raw)
+            answer = await bad.answer()
+            assert answer is not None and answer.status == status
+            assert upstream.got == []
+            fine = await good.ask()
+            assert fine is not None and fine.status == 200
+
+    run(test())
+
+
+def test_a_caller_that_leaves_takes_its_attempt_along() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream) as b:
+            client = await b.connect()
+            client.send()
+            await until(lambda: len(upstream.got) == 1)
+            client.writer.close()
+            await until(lambda: upstream.closed == 1)
+            await until(lambda: not b.node.engine._requests and not b.node.engine._balancer._requests)
+
+    run(test())
+
+
+def test_no_answer_in_time_is_a_failure_and_is_forgotten() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream) as b:
+            client = await b.connect()
+            answer = await client.ask("/pay", method="POST", X_Remaining="0.05")
+            assert answer is not None and answer.status == 504
+            await until(lambda: upstream.closed == 1)  # a late answer must not meet another request
+            assert not b.node.engine._requests and not b.node.engine._balancer._requests
+
+    run(test())
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    def crowd(data: dict[str, Any]) -> None:
+        data["settings"]["classes"][0]["target"] = 100.0  # the module waits a tenth of it for room
+
+    async def test() -> None:
+        async with balancer(change=crowd) as b:
+            answer = await (await b.connect()).ask()
+            assert answer is not None and answer.status == 503
+            assert (b"Retry-After", b"0.025") in answer.headers
+
+    run(test())
+
+
+def test_an_upstreams_own_503_is_no_refusal() -> None:
+    # A refusal tells the client that trying again is harmless; an attempt that may have run is not.
+    async def test() -> None:
+        upstream = FakeServer(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        async with balancer(upstream) as b:
+            answer = await (await b.connect()).ask("/pay", method="POST")
+            assert answer is not None and answer.status == 502
+            assert len(upstream.got) == 1
+
+    run(test())
+
+
+def test_a_fault_in_one_request_fails_that_request_only() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            module = b.node.engine._balancer
+            handle = module.handle
+
+            def faulty(event: Any, now: float) -> Any:
+                if isinstance(event, RequestArrived) and event.class_name == "pay":
+                    raise RuntimeError("made up")
+                return handle(event, now)
+
+            module.handle = faulty  # type: ignore[method-assign]
+            client = await b.connect()
+            for target, status in (("/pay", 500), ("/read", 200)):
+                answer = await client.ask(target)
+                assert answer is not None and answer.status == status
+            assert not b.node.engine._requests
+
+    run(test())
+
+
+def test_an_answer_that_the_module_never_gives_is_given_in_time() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            b.node.engine._balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+            answer = await (await b.connect()).ask(X_Remaining="0.05")
+            assert answer is not None and answer.status == 504
+            assert not b.node.engine._requests
+
+    run(test())
+
+
+def test_ready_only_once_an_upstream_is_known() -> None:
+    async def test() -> None:
+        for upstreams, status in (((), 503), ((FakeServer(),), 200)):
+            async with balancer(*upstreams) as b:
+                answer = await (await b.connect()).ask("/health/ready")
+                assert answer is not None and answer.status == status
+
+    run(test())
+
+
+def test_a_drain_takes_late_comers_and_finishes_what_is_open() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def slow(request: Got, writer: Writer) -> None:
+            if request.headers["x-txn"] == "slow":
+                await release.wait()
+            writer.write(OK)
+
+        upstream = FakeServer(slow)
+        async with balancer(upstream) as b:
+            idle, busy = await b.connect(), await b.connect()
+            busy.send(X_Txn="slow")
+            await until(lambda: len(upstream.got) == 1)
+            drained = asyncio.get_running_loop().create_task(b.node.server.drain())
+            await asyncio.sleep(0)
+            assert not b.node.server.is_ready()
+            late = await (await b.connect()).ask()
+            assert late is not None and late.status == 200 and not late.reusable
+            assert await idle.answer() is None  # closed between requests
+            assert not drained.done()
+            release.set()
+            answer = await busy.answer()
+            assert answer is not None and answer.status == 200 and not answer.reusable
+            await drained
+
+    run(test())
+
+
+def test_at_the_limit_idle_connections_give_way_and_others_wait() -> None:
+    async def test() -> None:
+        upstream = FakeServer(silent)
+        async with balancer(upstream) as b:
+            b.node.server._max_open = 2
+            first, second = await b.connect(), await b.connect()
+            assert await first.ask("/nowhere") is not None
+            second.send()
+            await until(lambda: len(upstream.got) == 1)
+            third = await b.connect()
+            third.send()
+            assert await first.answer() is None  # idle for longest
+            await until(lambda: len(upstream.got) == 2)
+            fourth = await b.connect()  # in the queue: both others are busy
+            fourth.send()
+            await until(lambda: not b.node.server._accepting)
+            assert len(b.node.server._connections) == 2
+            second.writer.close()
+            await until(lambda: len(upstream.got) == 3)
+
+    run(test())
+
+
+def test_half_a_request_does_not_hold_a_connection_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "READ_S", 0.0)
+    monkeypatch.setattr(server, "SWEEP_S", 0.01)
+
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            client.writer.write(b"GET /read HTT")
+            answer = await client.answer()
+            assert answer is not None and answer.status == 408
+            assert await client.reader.read() == b""
+
+    run(test())
+
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    good = config_data([])
+    for text in ("", "[]", "{}", json.dumps(good | {"listen": "nowhere"}), json.dumps(good | {"known": 7})):
+        path.write_text(text)
+        done = subprocess.run(
+            [sys.executable, "-m", "passpost"],
+            cwd=ROOT,
+            env=os.environ | {"EDGE_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+        )
+        assert done.returncode == 2
+        assert done.stderr.count("\n") == 1 and done.stderr.startswith("passpost: configuration")
+
+
+def test_the_program_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config_data([member("s0", "127.0.0.1:9")])))
+    with subprocess.Popen(
+        [sys.executable, "-m", "passpost"],
+        cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stderr is not None
+        assert "serves on" in process.stderr.readline()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait() == 0
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,243 @@
+"""Attempts and their outcomes, and the connections they use, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from passpost import upstream as module
+from passpost.discovery import parse_address
+from passpost.http1 import Answer
+from passpost.upstream import Attempt, Outgoing, Upstreams
+from tests.loopback import AWAY, OK, FakeServer, Got, Writer, balancer, run, silent, until
+from umberworks.interface import Outcome
+
+REQUEST = Outgoing(b"GET /read HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 0\r\n", b"")
+
+
+class Calls:
+    """Makes attempts and keeps their outcomes."""
+
+    def __init__(self, upstreams: Upstreams) -> None:
+        self.upstreams = upstreams
+        self.outcomes: list[Outcome] = []
+
+    def send(self, server: str = "s0", request: Outgoing = REQUEST, timeout: float = 10.0) -> Attempt:
+        def done(outcome: Outcome, answer: Answer | None) -> None:
+            assert (answer is not None) or outcome is not Outcome.SERVED
+            self.outcomes.append(outcome)
+
+        return self.upstreams.send(server, request, timeout, done)
+
+    async def outcome(self, server: str = "s0", timeout: float = 10.0) -> Outcome:
+        had = len(self.outcomes)
+        self.send(server, timeout=timeout)
+        await until(lambda: len(self.outcomes) > had)
+        return self.outcomes[-1]
+
+
+@asynccontextmanager
+async def calls(*servers: FakeServer, max_open: int = 10, idle: float = 30.0) -> AsyncIterator[Calls]:
+    for server in servers:
+        await server.start()
+    upstreams = Upstreams(5.0, idle, max_open)
+    upstreams.start()
+    upstreams.route({f"s{i}": parse_address(s.host_port) for i, s in enumerate(servers)})
+    try:
+        yield Calls(upstreams)
+    finally:
+        upstreams.stop()
+        for server in servers:
+            server.stop()
+
+
+@pytest.mark.parametrize(
+    ("raw", "outcome"),
+    [
+        (OK, Outcome.SERVED),
+        (b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + OK, Outcome.SERVED),
+        (AWAY, Outcome.TURNED_AWAY),
+        (AWAY.replace(b"503", b"504"), Outcome.TURNED_AWAY),
+        (AWAY.replace(b"503", b"500"), Outcome.ERROR),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 404 Oh\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"noise\r\n\r\n", Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 20_000, Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, Outcome.BROKEN),
+    ],
+)
+def test_what_an_answer_means(raw: bytes, outcome: Outcome) -> None:
+    async def test() -> None:
+        async with calls(FakeServer(raw)) as c:
+            assert await c.outcome() is outcome
+
+    run(test())
+
+
+@pytest.mark.parametrize("raw", [b"", OK[:-1], b"HTTP/1.1 200 OK\r\n\r\nto the end", OK[:20]])
+def test_an_answer_cut_short_is_a_reset(raw: bytes) -> None:
+    async def cut(request: Got, writer: Writer) -> None:
+        writer.write(raw)
+        writer.close()
+
+    async def test() -> None:
+        async with calls(FakeServer(cut)) as c:
+            assert await c.outcome() is Outcome.BROKEN
+
+    run(test())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def test() -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))  # bound, but it does not listen
+            async with calls() as c:
+                c.upstreams.route({"s0": unused.getsockname()})
+                assert await c.outcome() is Outcome.UNREACHED
+                assert await c.outcome("unknown") is Outcome.NOT_SENT
+
+    run(test())
+
+
+def test_a_break_before_the_last_byte_is_out_never_ran() -> None:
+    # The kernel's buffers take a few MB, so this request can't have gone out whole.
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            async with calls() as c:
+                c.upstreams.route({"s0": listener.getsockname()})
+                attempt = c.send(request=Outgoing(REQUEST.head, b"x" * 64 * 1024 * 1024))
+                peer, _ = await asyncio.get_running_loop().sock_accept(listener)
+                await until(lambda: attempt.connection is not None)
+                assert not attempt.is_written()
+                peer.close()
+                await until(lambda: c.outcomes == [Outcome.UNREACHED])
+
+    run(test())
+
+
+def test_a_timed_out_or_cancelled_attempt_closes_its_connection() -> None:
+    async def test() -> None:
+        server = FakeServer(silent)
+        async with calls(server) as c:
+            assert await c.outcome(timeout=0.02) in (Outcome.TIMED_OUT, Outcome.UNREACHED)
+            attempt = c.send()
+            await until(lambda: attempt.is_written())
+            attempt.cancel()
+            attempt.cancel()
+            assert c.outcomes[1:] == [Outcome.CANCELLED]
+            await until(lambda: server.closed == server.connections)
+
+    run(test())
+
+
+def test_the_most_recent_connection_is_used_again() -> None:
+    async def test() -> None:
+        order: list[Writer] = []
+        release = asyncio.Event()
+
+        async def reply(request: Got, writer: Writer) -> None:
+            order.append(writer)
+            await release.wait()
+            writer.write(OK)
+
+        server = FakeServer(reply)
+        async with calls(server) as c:
+            c.send(), c.send()
+            await until(lambda: len(order) == 2)
+            release.set()
+            await until(lambda: len(c.outcomes) == 2)
+            last = c.upstreams._upstreams["s0"].idle[-1]
+            attempt = c.send()
+            assert attempt.connection is last
+            await until(lambda: len(c.outcomes) == 3)
+            assert server.connections == 2
+
+    run(test())
+
+
+@pytest.mark.parametrize("after", [b"stray", OK, None])
+def test_an_idle_connection_that_speaks_or_ends_is_dropped(after: bytes | None) -> None:
+    async def test() -> None:
+        server = FakeServer()
+        async with calls(server) as c:
+            assert await c.outcome() is Outcome.SERVED
+            if after is None:
+                server.writers[0].close()
+            else:
+                server.writers[0].write(after)
+            await until(lambda: c.upstreams._open == 0)
+            assert await c.outcome() is Outcome.SERVED
+            assert server.connections == 2
+
+    run(test())
+
+
+def test_an_answer_with_more_behind_it_is_good_but_its_connection_is_not() -> None:
+    async def test() -> None:
+        async with calls(FakeServer(OK + OK)) as c:
+            assert await c.outcome() is Outcome.SERVED
+            assert c.upstreams._open == 0
+
+    run(test())
+
+
+def test_connections_idle_for_long_are_closed_by_us(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "SWEEP_S", 0.01)
+
+    async def test() -> None:
+        server = FakeServer()
+        async with calls(server, idle=0.0) as c:
+            assert await c.outcome() is Outcome.SERVED
+            await until(lambda: server.closed == 1)
+
+    run(test())
+
+
+def test_a_new_address_under_the_same_name_is_used_at_once() -> None:
+    async def test() -> None:
+        old, new = FakeServer(), FakeServer()
+        async with calls(old, new) as c:
+            await c.outcome("s0")
+            c.upstreams.route({"s0": parse_address(new.host_port)})
+            await until(lambda: old.closed == 1)
+            assert await c.outcome("s0") is Outcome.SERVED
+            assert len(new.got) == 1
+
+    run(test())
+
+
+def test_at_the_limit_the_oldest_idle_connection_gives_way() -> None:
+    async def test() -> None:
+        first, second = FakeServer(), FakeServer(silent)
+        async with calls(first, second, max_open=1) as c:
+            assert await c.outcome("s0") is Outcome.SERVED
+            held = c.send("s1")
+            await until(held.is_written)
+            await until(lambda: first.closed == 1)
+            assert await c.outcome("s0") is Outcome.UNREACHED  # nothing idle is left to close
+            assert c.upstreams._open == 1
+
+    run(test())
+
+
+def test_only_the_module_sends_again() -> None:
+    async def test() -> None:
+        async def reset(request: Got, writer: Writer) -> None:
+            writer.close()
+
+        broken, away, good = FakeServer(reset), FakeServer(AWAY), FakeServer()
+        async with balancer(broken, away) as b:
+            answer = await (await b.connect()).ask("/pay", method="POST")
+            assert answer is not None and answer.status in (502, 503)
+            assert len(broken.got) <= 1  # it may have run: not once more
+        async with balancer(away, good) as b:
+            answer = await (await b.connect()).ask("/pay", method="POST")
+            assert answer is not None and answer.status == 200  # a request turned away never ran
+
+    run(test())
