--- a/passpost/server.py
+++ b/passpost/server.py
@@ -87,6 +87,7 @@
         self._number: int | None = None  # of the request that the engine has
         self._bad = 0  # the status that ends this connection once all before it is answered
         self._lingers = False
+        self._clogged = False  # answers pile up unread
         self.since = time.monotonic()  # of the last change: idle, reading or lingering
 
     # ---- asyncio's callbacks
@@ -104,6 +105,15 @@
             number, self._number = self._number, None
             self._server.engine.left(number)
 
+    def pause_writing(self) -> None:
+        """The caller sends but does not read: its answers must not fill our memory."""
+        self._clogged = True
+
+    def resume_writing(self) -> None:
+        """The caller reads again."""
+        self._clogged = False
+        self._next()
+
     def data_received(self, data: bytes) -> None:
         """Bytes of a request, split anywhere."""
         if self._lingers or self._bad:
@@ -176,7 +186,7 @@
 
     def _next(self) -> None:
         """Take up the next request if none is open."""
-        while self._current is None and self._transport is not None and not self._lingers:
+        while self._current is None and self._transport is not None and not (self._lingers or self._clogged):
             if self._waiting:
                 request = self._current = self._waiting.popleft()
                 try:
@@ -190,6 +200,7 @@
                 self._answer(self._bad, close=True)
                 self._linger()
             else:
+                self._transport.resume_reading()
                 return
 
     def _take(self, request: _Request) -> None:
@@ -260,10 +271,8 @@
             if close:
                 self._lingers = True
                 self._transport.close()
-            else:
-                self._transport.resume_reading()
-                if self._waiting or self._bad:
-                    asyncio.get_running_loop().call_soon(self._next)
+            elif self._waiting or self._bad:
+                asyncio.get_running_loop().call_soon(self._next)
 
     def _answer(
         self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -187,6 +187,7 @@
         self._max_open = max_open
         self._upstreams: dict[str, _Upstream] = {}
         self._open = 0
+        self._said_full = False
         self._sweeper: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -220,7 +221,7 @@
         while upstream.idle and upstream.idle[-1].is_closing():
             upstream.idle[-1].drop()
         if upstream.idle:
-            upstream.idle.pop().carry(attempt)
+            self._carry(upstream.idle.pop(), attempt)
         elif self._has_room():
             connection = _Connection(upstream, self)
             upstream.open.add(connection)
@@ -229,7 +230,9 @@
                 self._connect(connection, upstream, attempt)
             )
         else:
-            log.warning("no descriptor left for a connection to %s", server)
+            if not self._said_full:  # one line a second at most: a shortage must not flood the log
+                self._said_full = True
+                log.warning("no descriptor left for a connection to %s", server)
             attempt.end(Outcome.UNREACHED)
         return attempt
 
@@ -253,18 +256,28 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *upstream.address)
-        except (OSError, TimeoutError):
+        except asyncio.CancelledError:  # the attempt has ended
+            connection.drop()
+        except Exception as error:
+            if not isinstance(error, OSError | TimeoutError):
+                log.exception("connecting to %s", upstream.name)
             connection.drop()
             attempt.connecting = None
             attempt.end(Outcome.UNREACHED)
-        except asyncio.CancelledError:  # the attempt has ended
-            connection.drop()
         else:
             attempt.connecting = None
             if attempt.is_over():
                 connection.drop()
             else:
-                connection.carry(attempt)
+                self._carry(connection, attempt)
+
+    def _carry(self, connection: _Connection, attempt: Attempt) -> None:
+        try:
+            connection.carry(attempt)
+        except Exception:  # the attempt still owes its outcome, and some of it may have gone out
+            log.exception("could not write a request")
+            attempt.end(Outcome.BROKEN)
+            connection.drop()
 
     def _has_room(self) -> bool:
         """Whether another connection may be opened; the one idle for longest gives way."""
@@ -279,6 +292,7 @@
 
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+        self._said_full = False
         limit = time.monotonic() - self._idle_limit
         for upstream in self._upstreams.values():
             while upstream.idle and upstream.idle[0].idle_since < limit:
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,37 @@
+"""The deploy file's build step."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import tomllib
+from pathlib import Path
+
+# Stands in for `python3 -m venv --clear .venv`: making a real environment takes long and wants pip.
+PYTHON = """#!/bin/sh
+test "$*" = "-m venv --clear .venv" || exit 1
+rm -rf .venv && mkdir -p .venv/bin && printf '#!/bin/sh\\n' > .venv/bin/pip && chmod +x .venv/bin/pip
+"""
+DEPLOY = Path(__file__).parent.parent / "deploy" / "balancer.toml"
+
+
+def test_changed_requirements_reach_an_existing_environment(tmp_path: Path) -> None:
+    build = tomllib.loads(DEPLOY.read_text())["build"]
+    python = tmp_path / "bin" / "python3"
+    python.parent.mkdir()
+    python.write_text(PYTHON)
+    python.chmod(0o755)
+    env = os.environ | {"PATH": f"{python.parent}:{os.environ['PATH']}"}
+
+    def run_build() -> None:
+        subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, env=env, check=True)
+
+    requirements, leftover = tmp_path / "requirements.txt", tmp_path / ".venv" / "leftover"
+    requirements.write_text("# nothing yet\n")
+    run_build()
+    leftover.touch()
+    run_build()
+    assert leftover.exists()  # nothing has changed: nothing is made anew
+    requirements.write_text("# nothing still, in other words\n")
+    run_build()
+    assert not leftover.exists()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -263,6 +263,41 @@
     run(test())
 
 
+def test_a_caller_that_does_not_read_does_not_fill_our_memory() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            one = b"GET /nowhere HTTP/1.1\r\nX-Txn: a\r\n\r\n"
+            sent = 0
+            await until(lambda: bool(b.node.server._connections))
+            (connection,) = b.node.server._connections
+            while not (connection._clogged and connection._waiting):
+                client.writer.write(one * 1_000)
+                sent += 1_000
+                await asyncio.sleep(0)
+            assert connection._transport is not None and not connection._transport.is_reading()
+            answered = 0
+            while answered < sent:  # no request was dropped meanwhile
+                answered += (await client.reader.readuntil(b"\r\n\r\n")).count(b" 404 ")
+
+    run(test())
+
+
+def test_a_caller_that_asks_first_is_told_to_go_on() -> None:
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            client.writer.write(
+                b"POST /pay HTTP/1.1\r\nX-Txn: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+            )
+            assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            client.writer.write(b"hi")
+            answer = await client.answer()
+            assert answer is not None and answer.status == 200
+
+    run(test())
+
+
 def test_half_a_request_does_not_hold_a_connection_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(server, "READ_S", 0.0)
     monkeypatch.setattr(server, "SWEEP_S", 0.01)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -226,6 +226,19 @@
     run(test())
 
 
+def test_a_write_that_raises_still_ends_its_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(connection: object, attempt: Attempt) -> None:
+        raise RuntimeError("made up")
+
+    async def test() -> None:
+        async with calls(FakeServer()) as c:
+            monkeypatch.setattr(module._Connection, "carry", fail)
+            assert await c.outcome() is Outcome.BROKEN
+            assert c.upstreams._open == 0
+
+    run(test())
+
+
 def test_only_the_module_sends_again() -> None:
     async def test() -> None:
         async def reset(request: Got, writer: Writer) -> None:
