A drain can't be held up by an unread answer; callers get more descriptors

An infinite number in the configuration gave a traceback in place of one line. A request in the listening socket's queue is taken and unseen, an attempt with no connection ends at once and harmlessly, so callers now get 55% and upstreams 35%.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -19,8 +19,9 @@
 log = logging.getLogger("passpost")
 
 # Callers and upstreams get a part of the descriptors each; the rest is for the listening socket, discovery,
-# the loop, files, and sockets that are closed but not gone yet.
-CALLERS_SHARE, UPSTREAMS_SHARE = 0.4, 0.45
+# the loop, files, and sockets that are closed but not gone yet. Callers get more: a request that waits in
+# the listening socket's queue is taken and not seen, while an attempt without a connection ends at once.
+CALLERS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
 
 
 class Node:
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -57,7 +57,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             return read(json.load(file))
-    except (OSError, ValueError, LookupError, TypeError, AttributeError) as error:
+    except (OSError, ValueError, LookupError, TypeError, AttributeError, OverflowError) as error:
         reason = f"{type(error).__name__}: {error}".replace("\n", " ")
         raise ConfigError(f"configuration {path!r}: {reason}") from None
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -269,8 +269,7 @@
         self._answer(status, headers, body, close)
         if self._transport is not None:
             if close:
-                self._lingers = True
-                self._transport.close()
+                self.close()
             elif self._waiting or self._bad:
                 asyncio.get_running_loop().call_soon(self._next)
 
@@ -308,7 +307,9 @@
         return quiet and self._transport is not None
 
     def close(self) -> None:
-        """Close between requests."""
+        """Close between requests; a caller that leaves its last answer unread can't hold us up for long."""
+        self._lingers = True
+        self.since = time.monotonic()
         if self._transport is not None:
             self._transport.close()
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -283,6 +283,23 @@
     run(test())
 
 
+def test_an_unread_answer_does_not_hold_up_a_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "LINGER_S", 0.0)
+    monkeypatch.setattr(server, "SWEEP_S", 0.01)
+
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            await until(lambda: bool(b.node.server._connections))
+            (connection,) = b.node.server._connections
+            connection._write(b"x" * 64 * 1024 * 1024)  # more than the kernel's buffers take
+            await b.node.server.drain()
+            assert not b.node.server._connections
+            assert not client.writer.is_closing()  # it was we who ended it
+
+    run(test())
+
+
 def test_a_caller_that_asks_first_is_told_to_go_on() -> None:
     async def test() -> None:
         async with balancer(FakeServer()) as b:
@@ -319,7 +336,14 @@
 def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     good = config_data([])
-    for text in ("", "[]", "{}", json.dumps(good | {"listen": "nowhere"}), json.dumps(good | {"known": 7})):
+    for text in (
+        "",
+        "[]",
+        "{}",
+        json.dumps(good | {"listen": "nowhere"}),
+        json.dumps(good | {"known": 7}),
+        json.dumps(good | {"limits": {"sockets": float("inf")}}),
+    ):
         path.write_text(text)
         done = subprocess.run(
             [sys.executable, "-m", "passpost"],
