A stray line end or an asked-for upgrade no longer spoils a connection

Seen in reading, shown by two tests that fail without the mend: a line end behind a request left _head_size above 0, so that the connection never counted as idle and a drain would wait for it until killed; a request with Upgrade was served and then followed by an unasked 400.

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -122,6 +122,9 @@
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:  # not offered: answered as a plain request, and that is all
+            if self._waiting:
+                self._waiting[-1].keep_alive = False
         except httptools.HttpParserError:
             self._bad = self._bad or 400
         if self._in_head and self._head_size > MAX_HEAD:
@@ -303,7 +306,7 @@
 
     def is_idle(self) -> bool:
         """Whether no request is open or being read."""
-        quiet = self._current is None and not self._waiting and not self._reading and not self._head_size
+        quiet = self._current is None and not self._waiting and not self._reading
         return quiet and self._transport is not None
 
     def close(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -300,6 +300,35 @@
     run(test())
 
 
+def test_a_line_end_behind_a_request_leaves_its_connection_idle() -> None:
+    # Some clients send one; a connection that never counted as idle could not be closed, nor a drain end.
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            assert await client.ask() is not None
+            (connection,) = b.node.server._connections
+            client.writer.write(b"\r\n")
+            await until(lambda: connection._head_size == 2)
+            assert connection.is_idle()
+            answer = await client.ask()
+            assert answer is not None and answer.status == 200
+
+    run(test())
+
+
+def test_an_upgrade_is_not_offered_but_the_request_is_served() -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with balancer(upstream) as b:
+            client = await b.connect()
+            client.send(Connection="Upgrade", Upgrade="h2c")
+            raw = await client.reader.read()
+            assert raw.count(b"HTTP/1.1 ") == 1 and raw.startswith(b"HTTP/1.1 200 ")
+            assert "upgrade" not in upstream.got[0].headers
+
+    run(test())
+
+
 def test_a_caller_that_asks_first_is_told_to_go_on() -> None:
     async def test() -> None:
         async with balancer(FakeServer()) as b:
