SIGHUP reads the configuration again and follows a new discovery

Cause: __main__ handled SIGTERM and SIGINT only, so that the default action ended the process. Mend: the handler is the first thing that the loop gets, before the file is read; a bad file is logged and the old configuration stays; a changed address of discovery ends the watch and asks the new one for the whole list. Each watch owns its connection now: the end of a cancelled one can't close the next one's.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from dataclasses import fields
 
 import uvloop
 
@@ -28,6 +29,7 @@
     """The parts of one balancer, wired together and started."""
 
     def __init__(self, config: Config) -> None:
+        self._config = config
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, max_open=int(config.sockets * UPSTREAMS_SHARE)
         )
@@ -40,6 +42,14 @@
         self.discovery.start(self.engine.listed)
         self.server.start()
 
+    def reload(self, config: Config) -> None:
+        """Take over a changed address of discovery; all else needs a restart, which the log says."""
+        changed = [f.name for f in fields(Config) if getattr(config, f.name) != getattr(self._config, f.name)]
+        if later := [name for name in changed if name not in ("discovery", "known", "seed")]:
+            log.warning("configuration: a change of %s waits for a restart", ", ".join(later))
+        self._config = config
+        self.discovery.move(config.discovery)
+
     async def stop(self) -> None:
         """Finish what was taken, then close everything."""
         await self.server.drain()
@@ -47,24 +57,40 @@
         self.upstreams.stop()
 
 
-async def serve(config: Config) -> None:
-    """Run until SIGTERM."""
-    stop = asyncio.Event()
+async def serve(path: str) -> None:
+    """Run until SIGTERM, by the configuration at `path`; SIGHUP reads it again."""
+    node: Node | None = None
+
+    def reload() -> None:
+        if node is None:
+            return  # the file is still to be read
+        try:
+            config = load(path)
+        except ConfigError as error:
+            log.error("the old configuration stays: %s", error)
+        else:
+            log.info("configuration read again; discovery at %s:%d", *config.discovery)
+            node.reload(config)
+
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload)  # first of all: unhandled, it ends the process
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, stop.set)
+    config = load(path)
     node = Node(config)
-    log.info("%s serves on %s:%d", config.name, *config.listen)
+    log.info("%s serves on %s:%d", config.name, config.listen[0], node.server.port)
     await stop.wait()
     log.info("stopping: finishing what was taken")
     await node.stop()
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the loop is about to give up its handlers
 
 
 def main() -> int:
     """Start as the environment says; the result is the exit status."""
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
-        config = load(os.environ.get("EDGE_CONFIG", ""))
-        uvloop.run(serve(config))
+        uvloop.run(serve(os.environ.get("EDGE_CONFIG", "")))
     except ConfigError as error:
         print(f"passpost: {error}", file=sys.stderr)
         return 2
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -67,6 +67,35 @@
     return Listing(int(data["revision"]), bool(data["complete"]), tuple(members), addresses)
 
 
+class _Line:
+    """A connection to discovery, kept for call after call."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def get(self, target: str) -> Answer:
+        """The answer to one call."""
+        if self._stream is None or self._stream[0].at_eof():
+            self.hang_up()
+            self._stream = await asyncio.open_connection(*self._address)
+        reader, writer = self._stream
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode())
+        parser = AnswerReader(MAX_LIST)
+        while (data := await reader.read(65536)) != b"":
+            if (answer := parser.feed(data)) is not None:
+                if not answer.reusable:
+                    self.hang_up()
+                return answer
+        raise EOFError("the connection ended before the answer did")
+
+    def hang_up(self) -> None:
+        """End the connection, if there is one."""
+        if self._stream is not None:
+            self._stream[1].close()
+            self._stream = None
+
+
 class Discovery:
     """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does."""
 
@@ -77,7 +106,6 @@
         self._addresses: dict[str, Address] = {}
         self._tell: Callable[[ListUpdate, dict[str, Address]], None] = lambda update, addresses: None
         self._task: asyncio.Task[None] | None = None
-        self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     def start(self, tell: Callable[[ListUpdate, dict[str, Address]], None]) -> None:
         """Tell the saved list; what comes later goes to the same place."""
@@ -89,17 +117,26 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._follow())
 
+    def move(self, address: Address) -> None:
+        """Follow the list at another address; what is known stays until the whole list comes from there."""
+        if address == self._address:
+            return
+        self._address, self._revision = address, None  # the new place may count its versions anew
+        self.stop()
+        self._task = None
+        self.subscribe()
+
     def stop(self) -> None:
         """Ask no more."""
         if self._task is not None:
             self._task.cancel()
-        self._hang_up()
 
     async def _follow(self) -> None:
+        line = _Line(self._address)
         wait = 0  # the first answer comes at once, so that the module hears whether the list is back
         try:
             while True:
-                listing = await self._call(wait)
+                listing = await self._call(line, wait)
                 if wait == 0 or listing.complete or listing.members:
                     kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
                     self._apply(listing, kind)
@@ -112,7 +149,7 @@
             log.warning("discovery: bad answer: %s: %s", type(error).__name__, error)
             self._revision = None
         finally:
-            self._hang_up()
+            line.hang_up()
         self._task = None
         self._tell(ListUpdate(ListKind.FAILED), self._addresses)
 
@@ -122,32 +159,13 @@
         self._addresses = {k: a for k, a in (kept | listing.addresses).items() if k not in left}
         self._tell(ListUpdate(kind, listing.members), self._addresses)
 
-    async def _call(self, wait_ms: int) -> Listing:
+    async def _call(self, line: _Line, wait_ms: int) -> Listing:
         target = _PATH if self._revision is None else f"{_PATH}?after={self._revision}&wait_ms={wait_ms}"
         async with asyncio.timeout(wait_ms / 1000 + CALL_TIMEOUT):
-            answer = await self._get(target)
+            answer = await line.get(target)
         if answer.status != 200:
             raise BadAnswerError(f"status {answer.status}")
         listing = parse_listing(json.loads(answer.body))
         if not listing.complete and (self._revision is None or listing.revision < self._revision):
             raise ValueError(f"changes up to {listing.revision} do not follow on {self._revision}")
         return listing
-
-    async def _get(self, target: str) -> Answer:
-        if self._stream is None or self._stream[0].at_eof():
-            self._hang_up()
-            self._stream = await asyncio.open_connection(*self._address)
-        reader, writer = self._stream
-        writer.write(f"GET {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode())
-        parser = AnswerReader(MAX_LIST)
-        while (data := await reader.read(65536)) != b"":
-            if (answer := parser.feed(data)) is not None:
-                if not answer.reusable:
-                    self._hang_up()
-                return answer
-        raise EOFError("the connection ended before the answer did")
-
-    def _hang_up(self) -> None:
-        if self._stream is not None:
-            self._stream[1].close()
-            self._stream = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -137,6 +137,34 @@
     run(test())
 
 
+def test_a_move_asks_the_new_address_for_the_whole_list_and_ends_the_old_watch() -> None:
+    async def test() -> None:
+        skipped, new = (
+            FakeServer(),
+            FakeServer(Script(answer_json(listing(1, member("c", "127.0.0.1:4001"))))),
+        )
+        await skipped.start()
+        await new.start()
+        async with following(answer_json(listing(7, complete=False))) as (old, discovery, heard):
+            await until(lambda: len(old.got) == 2)  # the watch is on
+            discovery.move(parse_address(skipped.host_port))
+            discovery.move(parse_address(new.host_port))
+            assert set(heard.addresses) == {"a", "b"}  # they serve until the new list is there
+            await until(lambda: len(new.got) == 2 and old.closed == 1)
+            discovery.move(parse_address(new.host_port))  # nothing to do
+            assert heard.kinds == [ListKind.SAVED, ListKind.CHANGES, ListKind.WHOLE]
+            assert set(heard.addresses) == {"c"}
+            assert [got.line for got in new.got] == [
+                "GET /registry/instances HTTP/1.1",
+                "GET /registry/instances?after=1&wait_ms=10000 HTTP/1.1",
+            ]
+            assert skipped.got == [] and new.connections == 1
+        skipped.stop()
+        new.stop()
+
+    run(test())
+
+
 def test_with_discovery_down_at_the_start_the_saved_list_serves() -> None:
     def ask(data: dict[str, Any]) -> None:
         data["settings"]["discovery"] = "ask"
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,14 +6,16 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import pytest
 
 from passpost import server
+from passpost.discovery import parse_address
 from tests.loopback import (
     OK,
     FakeServer,
@@ -385,6 +387,45 @@
         assert done.stderr.count("\n") == 1 and done.stderr.startswith("passpost: configuration")
 
 
+def _wait_for(lines: IO[str], text: str) -> str:
+    return next(line for line in lines if text in line)
+
+
+def test_sighup_reads_the_file_again_also_while_it_stops(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as upstream:  # takes requests and answers none
+        members = [member("s0", f"127.0.0.1:{upstream.getsockname()[1]}")]
+        good = config_data(members)
+        path.write_text(json.dumps(good))
+        with subprocess.Popen(
+            [sys.executable, "-m", "passpost"],
+            cwd=ROOT,
+            env=os.environ | {"EDGE_CONFIG": str(path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        ) as process:
+            assert process.stderr is not None
+            address = _wait_for(process.stderr, "serves on").split()[-1]
+            path.write_text("{}")
+            process.send_signal(signal.SIGHUP)
+            _wait_for(process.stderr, "the old configuration stays")
+            path.write_text(json.dumps(good | {"discovery": "127.0.0.1:2", "limits": {"sockets": 512}}))
+            process.send_signal(signal.SIGHUP)
+            assert "sockets waits for a restart" in _wait_for(process.stderr, "waits")
+            _wait_for(process.stderr, "discovery: ")  # nobody listens there
+            with socket.create_connection(parse_address(address)) as client:
+                client.sendall(b"GET /read HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: 9\r\n\r\n")
+                taken, _ = upstream.accept()
+                with taken:
+                    process.send_signal(signal.SIGTERM)
+                    _wait_for(process.stderr, "stopping")
+                    process.send_signal(signal.SIGHUP)
+                    _wait_for(process.stderr, "discovery at 127.0.0.1:2")
+                    taken.sendall(OK)
+                assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
+            assert process.wait() == 0
+
+
 def test_the_program_ends_with_0_on_sigterm(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config_data([member("s0", "127.0.0.1:9")])))
