A drain serves its callers until the last call

Mend: two steps. From SIGTERM only readiness ends; answers close connections once 1.2 s are left of the time after which the process may be killed, and no request is let in for longer than that. Ruled out: readiness is not asked again during a drain (probe), and callers stop using their open connections 1.0 s after SIGTERM whatever it says. What fails from then to the restart is not ours.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -24,6 +24,9 @@
 # the listening socket's queue is taken and not seen, while an attempt without a connection ends at once.
 CALLERS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
 
+# A planned restart kills no sooner than the longest deadline and so much later; the spare is for ending.
+KILL_AFTER_S, SPARE_S = 0.7, 0.3
+
 
 class Node:
     """The parts of one balancer, wired together and started."""
@@ -52,7 +55,8 @@
 
     async def stop(self) -> None:
         """Finish what was taken, then close everything."""
-        await self.server.drain()
+        longest = max(c.deadline_ms for c in self._config.settings.classes) / 1000
+        await self.server.drain(longest + KILL_AFTER_S - SPARE_S)
         self.discovery.stop()
         self.upstreams.stop()
 
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -25,6 +25,7 @@
 LINGER_S = 2.0  # an error is left this long to be read before its connection goes
 SWEEP_S = 1.0
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
+LAST_CALL_S = 1.2  # the end of a drain: until then callers are kept, as they may have nowhere else to go
 DRAIN_STEP_S = 0.02
 LAST_LOOK_S = 0.2  # for the requests on connections taken at the very end
 
@@ -236,6 +237,7 @@
         if not has_id or (engine.is_keyed(class_name) and not has_key):
             raise _BadRequestError(400)  # without a key nobody could drop a repeat
         remaining -= time.monotonic() - request.came  # the time it waited behind another
+        remaining = min(remaining, self._server.time_left())
         if remaining <= 0:
             raise _BadRequestError(504)
         head = b"%b %b HTTP/1.1\r\n%bContent-Length: %d\r\n" % (
@@ -268,7 +270,7 @@
             return
         self._current, self._number = None, None
         self.since = time.monotonic()
-        close = not request.keep_alive or self._server.draining
+        close = not request.keep_alive or self._server.closing
         self._answer(status, headers, body, close)
         if self._transport is not None:
             if close:
@@ -334,7 +336,8 @@
 
     def __init__(self, engine: Engine, address: Address, max_open: int) -> None:
         self.engine = engine
-        self.draining = False
+        self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
+        self._ends = math.inf
         self._max_open = max_open
         self._connections: set[_Connection] = set()
         self._accepting = False
@@ -363,13 +366,17 @@
         if self._socket.fileno() >= 0:
             self._resume()
 
-    async def drain(self) -> None:
-        """Stop without losing a request: each answer closes its connection from now on.
+    async def drain(self, within: float) -> None:
+        """Stop without losing a request, with all answered `within` so many seconds.
 
-        What lies in the listening socket's queue counts as taken, so the queue is emptied up to the end.
+        At first only readiness ends: a caller keeps its connection until the last call, and then each answer
+        closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
-        self.draining = True
+        self.draining, self._ends = True, time.monotonic() + within
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+        while self._connections and self.time_left() > LAST_CALL_S:
+            await asyncio.sleep(DRAIN_STEP_S)
+        self.closing = True
         while not self._accept():
             await asyncio.sleep(DRAIN_STEP_S)  # all connections are busy: each one that ends lets one in
         self._pause()
@@ -383,6 +390,10 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
 
+    def time_left(self) -> float:
+        """How long a request may stay open, in seconds: after a drain the process may be killed."""
+        return self._ends - time.monotonic()
+
     def _resume(self) -> None:
         if not self._accepting and len(self._connections) < self._max_open:
             self._accepting = True
