The waiting line is rid of refused requests; connections rest before reuse

Seen, by reading and a test: while room is short Balancer._waiting keeps every refused request below the newer ones for good (2,000 after 2,000); at 200 refusals a second that is some 80 MB an hour. Mend: dead entries are dropped once they outnumber the open requests by 64; a connection rests 5 ms, if another one is idle.

--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -20,6 +20,7 @@
 
 IDLE_SHARE = 0.5  # of the upstream's idle time after which we close: a request must not cross its close
 SWEEP_S = 1.0
+REST_S = 0.005  # an upstream that closes behind an answer, or sends more than it, does so within this
 
 Done = Callable[[Outcome, Answer | None], None]
 
@@ -225,10 +226,8 @@
         if upstream is None:
             attempt.end(Outcome.NOT_SENT)
             return attempt
-        while upstream.idle and upstream.idle[-1].is_spent():
-            upstream.idle[-1].drop()
-        if upstream.idle:
-            self._carry(upstream.idle.pop(), attempt)
+        if (connection := self._idle(upstream)) is not None:
+            self._carry(connection, attempt)
         elif self._has_room():
             connection = _Connection(upstream, self)
             upstream.open.add(connection)
@@ -243,6 +242,17 @@
             attempt.end(Outcome.UNREACHED)
         return attempt
 
+    def _idle(self, upstream: _Upstream) -> _Connection | None:
+        """The idle connection to use: the latest that has rested, else the one idle for longest."""
+        limit = time.monotonic() - REST_S
+        rested = [c for c in upstream.idle if c.idle_since <= limit]
+        for connection in [*reversed(rested), *upstream.idle[len(rested) :]]:
+            if not connection.is_spent():
+                upstream.idle.remove(connection)
+                return connection
+            connection.drop()
+        return None
+
     def rest(self, connection: _Connection, upstream: _Upstream) -> None:
         """Keep a connection for the next attempt, unless its upstream has left or moved."""
         if self._upstreams.get(upstream.name) is not upstream:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -501,6 +501,19 @@
     return let_in
 
 
+def test_the_waiting_line_does_not_keep_what_was_refused() -> None:
+    # The newest goes first: while room is short nobody reaches the entries at the line's end.
+    desk = Desk(1)
+    for _ in range(2_000):
+        desk.now += 1
+        _, actions = desk.ask()
+        for timer in of_kind(actions, SetTimer):
+            if isinstance(timer, SetTimer) and timer.token.startswith("wait:"):
+                desk.tell(TimerDue(timer.token))
+    assert len(desk.balancer._requests) < 100
+    assert len(desk.balancer._waiting) < 200
+
+
 def test_a_sliver_of_the_traffic_is_admitted_by_time_not_by_count() -> None:
     # With many balancers to a server a count of calls out fell under one: a calm fleet refused.
     slow = RequestClass("read", 10_000, 30_000, Effect.REPEATABLE)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -149,7 +149,13 @@
     run(test())
 
 
-def test_the_most_recent_connection_is_used_again() -> None:
+@pytest.mark.parametrize(("rest", "used"), [(0.0, -1), (60.0, 0)])
+def test_the_most_recent_connection_that_has_rested_is_used_again(
+    monkeypatch: pytest.MonkeyPatch, rest: float, used: int
+) -> None:
+    # An upstream may close right behind its answer: with no rest the next request would cross that close.
+    monkeypatch.setattr(module, "REST_S", rest)
+
     async def test() -> None:
         order: list[Writer] = []
         release = asyncio.Event()
@@ -165,9 +171,9 @@
             await until(lambda: len(order) == 2)
             release.set()
             await until(lambda: len(c.outcomes) == 2)
-            last = c.upstreams._upstreams["s0"].idle[-1]
+            wanted = c.upstreams._upstreams["s0"].idle[used]
             attempt = c.send()
-            assert attempt.connection is last
+            assert attempt.connection is wanted
             await until(lambda: len(c.outcomes) == 3)
             assert server.connections == 2
 
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -10,11 +10,12 @@
 import random
 from bisect import bisect
 from collections import Counter
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import accumulate
 
 from umberworks import interface as face
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
+from umberworks.shares import Shares
 
 DRAWS = 4  # d of the design; with few calls out for each server a draw of 2 too often misses the free one
 MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
@@ -30,14 +31,13 @@
 LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
 LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
 LEAST_ADMITTED = 0.05  # the share let in all the same, to notice that the crowd has gone
+WAITING_SPARE = 64  # entries beyond the open requests from which the waiting line is rid of the answered ones
 WAIT_SHARE = 0.1  # share of its aim that a request may wait for room before it is refused
 AWAY_SHARE = 0.25  # share of its aim that a refused client is told to stay away: room changes, its aim runs
 TRY_STEP_MS = 50.0  # tries that give this much the same time are alike; the commonest are first tries
 RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
 RETRY_BURST = 10.0  # further attempts that may be saved up
 PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
-QUOTA_BURST_MS = 2_000.0  # a tenant may use this much of its share at once ...
-QUOTA_BURST = 4.0  # ... and so many requests; a small part of a share comes to less than one
 COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 
@@ -106,8 +106,7 @@
         self._mean, self._base = 0.0, 0.0  # time in service, last and lowest, in aims; 0: not measured yet
         self._tries: dict[str, Counter[int]] = {c.name: Counter() for c in settings.classes}
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
-        self._quota = {t.name: t.quota_per_s / settings.balancers / 1000 for t in settings.tenants}
-        self._share: dict[str, tuple[float, float]] = {}
+        self._shares = Shares(settings.tenants, settings.balancers)
         self._asked, self._counted, self._sliver, self._list_failures = False, False, False, 0
         self._refusing_until = -math.inf
         self._actions: list[face.Action] = []
@@ -183,7 +182,7 @@
         if event.class_name not in self._classes:
             raise ValueError(f"request {event.request} is of unknown class {event.class_name!r}")
         request = _Request(event, self._classes[event.class_name], now)
-        request.over_share = self._over_share(event.tenant, now)
+        request.over_share = self._shares.is_over(event.tenant, now)
         if self._settings.calling_tier == 0:
             self._mark_later_try(request, event.remaining_ms)
         self._requests[request.id] = request
@@ -191,6 +190,10 @@
         if self._crowded(request):
             self._refuse_for_room(request, now)
             return
+        if len(self._waiting) > len(self._requests) + WAITING_SPARE:
+            # While room is short the newest go first, and below them what was refused would stay for good.
+            self._waiting = [entry for entry in self._waiting if entry[2] in self._requests]
+            heapify(self._waiting)
         heappush(self._waiting, (request.over_share, -now, request.id))
         self._pump(now)
         if not request.attempts:
@@ -334,17 +337,6 @@
         if not request.owed and not request.is_out():
             self._requests.pop(request.id, None)
 
-    def _over_share(self, tenant: str | None, now: float) -> bool:
-        """Whether this tenant is past our part of its share; its excess is worth little."""
-        rate = self._quota.get(tenant or "")
-        if rate is None or tenant is None:
-            return False
-        level, seen = self._share.get(tenant, (math.inf, now))
-        level = min(max(QUOTA_BURST_MS * rate, QUOTA_BURST), level + (now - seen) * rate)
-        over = level < 1
-        self._share[tenant] = (level if over else level - 1, now)
-        return over
-
     def _harmless(self, request: _Request, now: float) -> list[_Server]:
         """The fit servers to which the next attempt can do no harm; all of them if none may have run."""
         cls = request.cls
