While callers are many, answers close their connections

Checked by two probes (log lines, not kept): the module refused almost nothing; connections stood at the limit of 211, about 121 of them idle after one request and 83 silent. Callers may hold a third of the descriptors, 128: those who ask once and stay kept the others from coming in. IDLE_S was 75 s for all. Mend: past half of the callers' limit an answer closes its connection and idle ones go after 2 s, but not in a drain, where nobody else can come in.

--- a/passpost/server.py
+++ b/passpost/server.py
@@ -23,6 +23,8 @@
 BACKLOG = 1024
 ACCEPT_AT_ONCE = 64  # so many new connections, and then the others have their turn
 IDLE_S = 75.0  # a connection that has been of use is closed after so long without a request
+CROWDED_IDLE_S = 2.0  # the same while callers are many: callers may count on so long
+KEEP_SHARE = 0.5  # callers are many past this share of the limit; then each answer closes its connection
 READ_S = 2.25  # a request must be whole so long after its first byte, and the first one after connecting
 UNREAD_S = 5.0  # the end of an answer may lie unread so long
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
@@ -244,7 +246,7 @@
         self._current, self._number = None, None
         self._release()
         self.since = time.monotonic()
-        close = not request.keep_alive or self._server.closing
+        close = not request.keep_alive or self._server.closing or self._server.is_crowded()
         self._answer(status, headers, body, close)
         if self._transport is not None:
             if close:
@@ -335,7 +337,10 @@
             if age > READ_S:
                 self._bad = self._bad or 408
                 self._next()
-        elif age > (IDLE_S if self._useful else READ_S):
+        elif not self._useful:
+            if age > READ_S:
+                self.close()
+        elif age > (CROWDED_IDLE_S if self._server.is_crowded() else IDLE_S):
             self.close()
 
 
@@ -364,6 +369,13 @@
         """Whether clients should come here."""
         return self.engine.has_upstreams and not self.draining
 
+    def is_crowded(self) -> bool:
+        """Whether connections run short: kept ones must not keep callers with a request from coming in.
+
+        In a drain nobody else comes in, and who has no connection left has nowhere to go.
+        """
+        return not self.draining and len(self._connections) > KEEP_SHARE * self._max_open
+
     def start(self) -> None:
         """Begin to accept."""
         self._resume()
