--- a/passpost/server.py
+++ b/passpost/server.py
@@ -246,7 +246,10 @@
         self._current, self._number = None, None
         self._release()
         self.since = time.monotonic()
-        close = not request.keep_alive or self._server.closing or self._server.is_crowded()
+        ends = self._server.closing or self._server.is_crowded()
+        close = not request.keep_alive or (
+            ends and not self._waiting
+        )  # what was sent ahead is owed an answer
         self._answer(status, headers, body, close)
         if self._transport is not None:
             if close:
@@ -325,7 +328,7 @@
         `since` moves with whole requests and their answers only: a byte more now and then gains no time.
         """
         age, transport = now - self.since, self._transport
-        if transport is None or self.is_busy():
+        if transport is None or self._current is not None:
             return
         if self._lingers:
             if age > LINGER_S:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import IO, Any
 
@@ -87,6 +88,17 @@
     run(test())
 
 
+def held(release: asyncio.Event) -> Callable[[Got, Writer], Awaitable[None]]:
+    """An upstream's script: the request named slow is answered once released, others at once."""
+
+    async def reply(request: Got, writer: Writer) -> None:
+        if request.headers["x-txn"] == "slow":
+            await release.wait()
+        writer.write(OK)
+
+    return reply
+
+
 GET, PAY = b"GET /read HTTP/1.1\r\n", b"POST /pay HTTP/1.1\r\nX-Txn: a\r\n"
 ORDER = b"POST /order HTTP/1.1\r\nX-Txn: a\r\n"
 CHUNKED, TWO = b"Transfer-Encoding: chunked\r\n", b"Content-Length: 2\r\n"
@@ -185,20 +197,15 @@
     # An upstream would take the second request for a copy of the first, and drop it or run it twice.
     async def test() -> None:
         release = asyncio.Event()
-
-        async def slow(request: Got, writer: Writer) -> None:
-            await release.wait()
-            writer.write(OK)
-
-        upstream = FakeServer(slow)
+        upstream = FakeServer(held(release))
         async with balancer(upstream) as b:
             first, other = await b.connect(), await b.connect()
-            first.send(X_Txn="same")
+            first.send(X_Txn="slow")
             await until(lambda: len(upstream.got) == 1)
-            answer = await other.ask(X_Txn="same")
+            answer = await other.ask(X_Txn="slow")
             assert answer is not None and answer.status == 409
             release.set()
-            for answer in (await first.answer(), await first.ask(X_Txn="same")):
+            for answer in (await first.answer(), await first.ask(X_Txn="slow")):
                 assert answer is not None and answer.status == 200
             assert len(upstream.got) == 2 and not b.node.server.open_ids
 
@@ -322,13 +329,7 @@
 def test_a_drain_takes_late_comers_and_finishes_what_is_open() -> None:
     async def test() -> None:
         release = asyncio.Event()
-
-        async def slow(request: Got, writer: Writer) -> None:
-            if request.headers["x-txn"] == "slow":
-                await release.wait()
-            writer.write(OK)
-
-        upstream = FakeServer(slow)
+        upstream = FakeServer(held(release))
         async with balancer(upstream) as b:
             idle, busy = await b.connect(), await b.connect()
             busy.send(X_Txn="slow")
@@ -387,6 +388,21 @@
     run(test())
 
 
+def test_what_was_sent_ahead_is_answered_before_a_crowded_connection_closes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server, "KEEP_SHARE", 0.0)
+
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            client = await b.connect()
+            client.writer.write(b"".join(GET + b"X-Txn: a%d\r\n\r\n" % i for i in range(3)))
+            raw = await client.reader.read()
+            assert raw.count(b"HTTP/1.1 200 ") == 3 and raw.count(b"Connection: close") == 1
+
+    run(test())
+
+
 def test_at_the_limit_idle_connections_give_way_and_others_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(server, "KEEP_SHARE", 1.0)
 
@@ -440,7 +456,9 @@
     run(test())
 
 
-def test_a_caller_that_does_not_read_does_not_fill_our_memory() -> None:
+def test_a_caller_that_does_not_read_does_not_fill_our_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "UNREAD_S", PATIENCE)
+
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             client = await b.connect()
@@ -464,7 +482,7 @@
 def test_an_unread_answer_holds_up_neither_us_nor_a_drain(
     monkeypatch: pytest.MonkeyPatch, draining: bool
 ) -> None:
-    monkeypatch.setattr(server, "UNREAD_S", PATIENCE if draining else 0.0)
+    monkeypatch.setattr(server, "UNREAD_S", PATIENCE)
 
     async def test() -> None:
         async with balancer(FakeServer()) as b:
@@ -474,6 +492,10 @@
             connection._write(b"x" * 64 * 1024 * 1024)  # more than the kernel's buffers take
             if draining:
                 await b.node.server.drain(0.0)
+            else:
+                client.send()  # ahead: it waits until the answer before it has been read
+                await until(lambda: bool(connection._waiting))
+                monkeypatch.setattr(server, "UNREAD_S", 0.0)
             await until(lambda: not b.node.server._connections)
             assert not client.writer.is_closing()  # it was we who ended it
 
