--- a/passpost/server.py
+++ b/passpost/server.py
@@ -247,9 +247,8 @@
         self._release()
         self.since = time.monotonic()
         ends = self._server.closing or self._server.is_crowded()
-        close = not request.keep_alive or (
-            ends and not self._waiting
-        )  # what was sent ahead is owed an answer
+        # What was sent ahead is owed an answer first.
+        close = not request.keep_alive or (ends and not self._waiting)
         self._answer(status, headers, body, close)
         if self._transport is not None:
             if close:
