A balancer's room holds 16 calls at the least, up to what all servers have room for

Cause: _room in rules.py gave each of two balancers half of four servers' room, 8 calls, whoever was there. While one restarts, the other has all callers (66 requests a second, 12 calls out) and refuses; refused callers try again at once (2 tries a request).

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -58,6 +58,30 @@
     run(test())
 
 
+def test_a_balancer_that_is_alone_takes_the_callers_of_one_that_is_away() -> None:
+    """While one of two balancers restarts, the other must not refuse for want of half the fleet's room."""
+
+    async def test() -> None:
+        upstreams = [FakeServer(silent) for _ in range(4)]
+
+        def two(data: dict[str, Any]) -> None:
+            data["settings"]["balancers"] = 2
+
+        async with balancer(*upstreams, change=two) as b:
+            callers = [await b.connect() for _ in range(16)]
+            for caller in callers:
+                caller.send()
+            await until(lambda: sum(len(u.got) for u in upstreams) == len(callers))
+            for upstream in upstreams:
+                for writer in upstream.writers:
+                    writer.write(OK)
+            for caller in callers:
+                answer = await caller.answer()
+                assert answer is not None and answer.status == 200
+
+    run(test())
+
+
 def test_bytes_may_be_split_anywhere_and_connections_are_kept() -> None:
     async def test() -> None:
         upstream = FakeServer()
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -27,6 +27,10 @@
 BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
 RATE_MEMORY_MS = 2_000.0  # smoothing of our own served rate
 FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
+# Of a smaller room chance alone refuses much, all the more while another balancer is away and its callers
+# come here, which nobody tells us. Guards too against a lowest time in service that few calls made too low.
+# It can do harm on fleets of under 8 servers: they are crowded once several balancers use it in full.
+LEAST_ROOM = 16.0  # calls out that a balancer lets through in any case, up to the room of all servers
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
 LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
@@ -258,7 +262,8 @@
         ours = len(self._ready) / self._settings.balancers
         # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
         queued = ours + self._base * self._aims / RATE_MEMORY_MS
-        room = max(FREE_PER_SERVER * ours, queued)
+        least = min(LEAST_ROOM, FREE_PER_SERVER * len(self._ready))
+        room = max(FREE_PER_SERVER * ours, queued, least)
         # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
         return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self._base else room
 
