--- /dev/null
+++ b/umberworks/room.py
@@ -0,0 +1,62 @@
+"""How many calls may be out at once, by their time in service (the contract: umberworks/interface.py)."""
+
+from __future__ import annotations
+
+import math
+
+BASE_CALLS = 30  # served calls that make a measure of the time in service; the first find servers free
+BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
+RATE_MEMORY_MS = 2_000.0  # smoothing of our own served rate
+FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
+# Of a smaller room chance alone refuses much, all the more while another balancer is away and its callers
+# come here, which nobody tells us. Guards too against a lowest time in service that few calls made too low.
+# It can do harm on fleets of under 8 servers: they are crowded once several balancers use it in full.
+LEAST_ROOM = 16.0  # calls out that a balancer lets through in any case, up to the room of all servers
+LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
+
+
+class Room:
+    """Counts the calls out and measures how long they take, in aims of their classes."""
+
+    def __init__(self, balancers: int) -> None:
+        self._balancers = balancers
+        self.out = 0
+        # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
+        self._aims, self._spent, self._seen = 0.0, 0.0, 0.0
+        self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, 0.0
+        self.mean, self.base = 0.0, 0.0  # time in service, last and lowest, in aims; 0: not measured yet
+
+    def catch_up(self, now: float) -> None:
+        """Bring the measure to `now`: calls that are still out add time, and all of it fades."""
+        gap = now - self._seen
+        if gap > 0:
+            fade = math.exp(-gap / RATE_MEMORY_MS)
+            self._aims *= fade
+            self._spent = self._spent * fade + self.out * RATE_MEMORY_MS * (1 - fade)
+            self._times += self.out * gap
+            self.base = min(self.base * math.exp(min(gap / BASE_DRIFT_MS, 1.0)), 1.0)  # idle for hours
+            self._seen = now
+
+    def served(self, aim_ms: float, now: float) -> None:
+        """Count a served call."""
+        self._calls += 1
+        self._aims += aim_ms
+        self._block_aims += aim_ms
+        if self._calls >= BASE_CALLS and (not self.base or now - self._block_from >= RATE_MEMORY_MS):
+            self.mean = self._times / self._block_aims
+            self.base = min(self.base or math.inf, self.mean)
+            self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, now
+
+    def load(self, aim_ms: float) -> float:
+        """The mean time in service as a class with this aim sees it."""
+        return self._spent / (self._aims + LOAD_PRIOR * aim_ms)
+
+    def size(self, ready: int) -> float:
+        """How many calls may be out: past its capacity a server only queues, a crowded one slows down."""
+        ours = ready / self._balancers
+        # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
+        queued = ours + self.base * self._aims / RATE_MEMORY_MS
+        least = min(LEAST_ROOM, FREE_PER_SERVER * ready)
+        room = max(FREE_PER_SERVER * ours, queued, least)
+        # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
+        return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self.base else room
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -1,6 +1,6 @@
 """Every decision of the balancer; its types, events and actions are in umberworks/interface.py.
 
-A request's path: `_arrived` puts it in the waiting line, `_pump` lets it out while there is room (`_room`),
+A request's path: `_arrived` puts it in the waiting line, `_pump` lets it out while there is room (room.py),
 `_try_send` picks its server (`_pick`: the ordinary path), `_ended` books each outcome and may try again.
 """
 
@@ -15,6 +15,7 @@
 
 from umberworks import interface as face
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
+from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.shares import Shares
 
 DRAWS = 4  # d of the design; with few calls out for each server a draw of 2 too often misses the free one
@@ -23,15 +24,6 @@
 CALLS_EACH = 4.0  # calls in memory for each server kept to beyond these; with fewer our view is a sliver
 GOOD = 0.5  # of its usual capacity; below it a server is slow, cold or silent
 PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
-BASE_CALLS = 30  # served calls that make a measure of the time in service; the first find servers free
-BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
-RATE_MEMORY_MS = 2_000.0  # smoothing of our own served rate
-FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
-# Of a smaller room chance alone refuses much, all the more while another balancer is away and its callers
-# come here, which nobody tells us. Guards too against a lowest time in service that few calls made too low.
-# It can do harm on fleets of under 8 servers: they are crowded once several balancers use it in full.
-LEAST_ROOM = 16.0  # calls out that a balancer lets through in any case, up to the room of all servers
-LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
 LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
 LEAST_ADMITTED = 0.05  # the share let in all the same, to notice that the crowd has gone
@@ -103,11 +95,8 @@
         self._requests: dict[int, _Request] = {}
         self._waiting: list[tuple[bool, float, int]] = []
         self._held: list[tuple[float, int, _Server]] = []
-        self._held_count, self._out_count, self._retries = 0, 0, RETRY_BURST
-        # In memory: aims of served calls, time in flight; of the block measured: calls, aims, time, start.
-        self._aims, self._spent, self._rate_seen = 0.0, 0.0, 0.0
-        self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, 0.0
-        self._mean, self._base = 0.0, 0.0  # time in service, last and lowest, in aims; 0: not measured yet
+        self._held_count, self._retries, self._now = 0, RETRY_BURST, 0.0
+        self._room = Room(settings.balancers)
         self._tries: dict[str, Counter[int]] = {c.name: Counter() for c in settings.classes}
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
         self._shares = Shares(settings.tenants, settings.balancers)
@@ -122,7 +111,8 @@
             self._asked = True
             self._actions.append(face.Subscribe())
         self._release(now)
-        self._catch_up(now)
+        self._room.catch_up(now)
+        self._now = max(self._now, now)
         match event:
             case face.AttemptEnded():
                 self._ended(event, now)
@@ -175,7 +165,7 @@
         self._fit = self._ready[: max(LEAST_KEPT, round(calls / CALLS_EACH))]
         self._counted = len(self._ready) >= self._settings.balancers  # else a count of calls out is chance
         self._sliver = self._settings.sizes_exact and calls < CALLS_EACH * len(self._ready)
-        warm = [s.served for s in self._fit if self._warmth(s, self._rate_seen) >= 1]
+        warm = [s.served for s in self._fit if self._warmth(s, self._now) >= 1]
         self._usual_rate = sum(warm) / len(warm) / MEMORY_MS if warm else self._usual_rate
 
     # ---- a request's path -----------------------------------------------------------------------
@@ -228,20 +218,19 @@
 
     def _refuse_for_room(self, request: _Request, now: float) -> None:
         if now > self._refusing_until:
-            self._actions.append(face.Log(f"no room: refusing; {self._out_count} calls out"))
+            self._actions.append(face.Log(f"no room: refusing; {self._room.out} calls out"))
         self._refusing_until = now + MEMORY_MS
         self._give_up(request)
 
     def _copy(self, request: _Request, now: float) -> None:
         """Send a copy of what is overdue at a server that has served nothing since: it may hang."""
         silent = request.is_out() and all(a.server.heard <= a.sent for a in request.attempts if a.out)
-        if silent and self._out_count < self._room():
+        if silent and self._has_room():
             self._try_again(request, now, RETRY_BURST / 2)
 
     def _pump(self, now: float) -> None:
         """Let waiting requests out while there is room: within their share first, the newest first."""
-        room = self._room()
-        while self._waiting and self._out_count < room:
+        while self._waiting and self._has_room():
             request = self._requests.get(self._waiting[0][2])
             if request is not None and request.owed and not self._try_send(request, now):
                 return
@@ -251,32 +240,14 @@
         """Whether to refuse by the mean time in service; calls still out are in it: a stall shows at once."""
         if self._counted or self._settings.calling_tier > 0:
             return False
-        load = self._spent / (self._aims + LOAD_PRIOR * request.cls.aim_ms)
+        load = self._room.load(request.cls.aim_ms)
         chance = (LOAD_FULL - load - LOAD_OVER_SHARE * request.over_share) / (LOAD_FULL - LOAD_FREE)
         return self._random.random() >= max(chance, LEAST_ADMITTED)
 
-    def _room(self) -> float:
-        """How many calls may be out: past its capacity a server only queues, a crowded one slows down."""
+    def _has_room(self) -> bool:
         if not self._counted or self._settings.calling_tier > 0:
-            return math.inf  # inner tiers let all in: a refusal there wastes what the tiers above have done
-        ours = len(self._ready) / self._settings.balancers
-        # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
-        queued = ours + self._base * self._aims / RATE_MEMORY_MS
-        least = min(LEAST_ROOM, FREE_PER_SERVER * len(self._ready))
-        room = max(FREE_PER_SERVER * ours, queued, least)
-        # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
-        return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self._base else room
-
-    def _catch_up(self, now: float) -> None:
-        """Bring the measure of the time in service to `now`, as `_Server.catch_up` does for one server."""
-        gap = now - self._rate_seen
-        if gap > 0:
-            fade = math.exp(-gap / RATE_MEMORY_MS)
-            self._aims *= fade
-            self._spent = self._spent * fade + self._out_count * RATE_MEMORY_MS * (1 - fade)
-            self._times += self._out_count * gap
-            self._base = min(self._base * math.exp(min(gap / BASE_DRIFT_MS, 1.0)), 1.0)  # idle for hours
-            self._rate_seen = now
+            return True  # inner tiers let all in: a refusal there wastes what the tiers above have done
+        return self._room.out < self._room.size(len(self._ready))
 
     def _try_send(self, request: _Request, now: float) -> bool:
         timeout = request.useful_until() - now
@@ -287,11 +258,11 @@
             return False
         server.catch_up(now)
         server.in_flight, server.last_sent = server.in_flight + 1, now
-        self._out_count += 1
+        self._room.out += 1
         request.attempts.append(_Attempt(server, now, timeout))
         self._actions.append(face.Send(request.id, server.member.server, timeout))
-        if self._mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
-            patience = PATIENCE * self._mean * request.cls.aim_ms
+        if self._room.mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
+            patience = PATIENCE * self._room.mean * request.cls.aim_ms
             self._actions.append(face.SetTimer(now + patience, f"copy:{request.id}"))
         return True
 
@@ -408,17 +379,11 @@
         """Count a served call; hold a failure's slot to its full time-out: it must not look idle."""
         server = attempt.server
         server.catch_up(now)
-        self._out_count -= 1
+        self._room.out -= 1
         if outcome is Outcome.SERVED:
             server.served += 1
             server.heard = now
-            self._calls += 1
-            self._aims += cls.aim_ms
-            self._block_aims += cls.aim_ms
-            if self._calls >= BASE_CALLS and (not self._base or now - self._block_from >= RATE_MEMORY_MS):
-                self._mean = self._times / self._block_aims
-                self._base = min(self._base or math.inf, self._mean)
-                self._calls, self._block_aims, self._times, self._block_from = 0, 0.0, 0.0, now
+            self._room.served(cls.aim_ms, now)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and attempt.ends > now:
             self._held_count += 1
             heappush(self._held, (attempt.ends, self._held_count, server))
