In a drain two connections are kept free for the callers

Cause: callers of a draining balancer use what they hold until one of them finds no connection free; from then on none comes any more, though connections lie open (the last arrival took the last free one in 6 of 6 drains, 0.3 to 1.4 s after SIGTERM). README said that callers drop their connections 1 s after SIGTERM; corrected.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -86,14 +86,20 @@
         self._post(update)
 
     def arrived(
-        self, class_name: str, tenant: str | None, remaining: float, outgoing: Outgoing, caller: Caller
+        self,
+        class_name: str,
+        tenant: str | None,
+        remaining: float,
+        outgoing: Outgoing,
+        caller: Caller,
+        free_connections: float,
     ) -> int:
         """A request is there, with so many seconds to answer it; the result is its number."""
         self._count += 1
         number = self._count
         guard = asyncio.get_running_loop().call_later(remaining + self._grace, self._overdue, number)
         self._requests[number] = _Open(caller, outgoing, guard)
-        self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant))
+        self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant, free_connections))
         return number
 
     def left(self, number: int) -> None:
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -30,6 +30,7 @@
 LINGER_S = 2.0  # an error is left so long to be read before its connection goes
 SWEEP_S = 0.25  # these bounds are kept to within this
 ACCEPT_AFTER_STOP_S = 0.8  # connections go on coming for up to 0.4 s after SIGTERM, and some are on their way
+DEALT_AFTER_STOP_S = 0.2  # new connections come for so long at the least; later callers have what they hold
 LAST_CALL_S = 1.2  # the end of a drain: until then callers are kept, as they may have nowhere else to go
 DRAIN_STEP_S = 0.02
 LAST_LOOK_S = 0.2  # for the requests on connections taken at the very end
@@ -215,7 +216,8 @@
             len(request.body),
         )
         outgoing = Outgoing(head, request.body)
-        number = self._server.engine.arrived(call.class_name, call.tenant, remaining, outgoing, self)
+        free = self._server.free_connections()
+        number = self._server.engine.arrived(call.class_name, call.tenant, remaining, outgoing, self, free)
         if self._current is request:  # it may have been answered at once
             self._number = number
 
@@ -292,6 +294,10 @@
         """Whether no request is open or being read."""
         return not self.is_busy() and not self._reading and self._transport is not None
 
+    def is_free(self) -> bool:
+        """Whether its caller can send a request on it."""
+        return self.is_idle() and not self._lingers
+
     def worth(self) -> int | None:
         """How ill it can be spared when there are too many, the least first; None if it can't be."""
         if self.is_busy() or self._transport is None:
@@ -352,7 +358,7 @@
     def __init__(self, engine: Engine, address: Address, max_open: int) -> None:
         self.engine = engine
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
-        self._ends = math.inf
+        self._ends, self._dealt_until = math.inf, math.inf
         self._max_open = max_open
         self._connections: set[_Connection] = set()
         self.open_ids: set[bytes] = set()
@@ -396,6 +402,7 @@
         closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
         self.draining, self._ends = True, time.monotonic() + within
+        self._dealt_until = time.monotonic() + DEALT_AFTER_STOP_S
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
         while self._connections and self.time_left() > LAST_CALL_S:
             await asyncio.sleep(DRAIN_STEP_S)
@@ -415,6 +422,12 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
 
+    def free_connections(self) -> float:
+        """How many more requests callers can send at once; no bound while they can open connections."""
+        if self.closing or time.monotonic() < self._dealt_until:
+            return math.inf
+        return sum(connection.is_free() for connection in self._connections)
+
     def time_left(self) -> float:
         """How long a request may stay open, in seconds: after a drain the process may be killed."""
         return self._ends - time.monotonic()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -338,6 +338,18 @@
     assert batch(Desk(16, balancers=2), 40, 20.0) == 32
 
 
+def test_connections_are_kept_free_while_callers_can_open_no_more() -> None:
+    desk = Desk(4)
+    few = [desk.ask(free_connections=0)[1] for _ in range(2)]
+    assert all(sent(actions) for actions in few), "a few callers are let be"
+    assert of_kind(desk.ask(free_connections=0)[1], Refuse)
+    assert sent(desk.ask(free_connections=1)[1])
+    more = [desk.ask(free_connections=2)[1] for _ in range(4)]
+    assert all(sent(actions) for actions in more)
+    assert of_kind(desk.ask(free_connections=1)[1], Refuse)
+    assert sent(desk.ask()[1]), "else there is no bound"
+
+
 def test_a_tenant_over_its_share_waits_behind_the_others() -> None:
     desk = Desk(1, tenants=(Tenant("big", 1.0), Tenant("small", 50.0)))
     first = [desk.ask(tenant="big") for _ in range(30)]
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -350,6 +350,39 @@
     run(test())
 
 
+def test_a_drain_keeps_connections_free_for_its_callers(monkeypatch: pytest.MonkeyPatch) -> None:
+    # New ones come no more: callers that found all of them busy would be gone for good.
+    monkeypatch.setattr(server, "DEALT_AFTER_STOP_S", 0.0)
+
+    async def test() -> None:
+        upstreams = [FakeServer(silent) for _ in range(4)]
+        async with balancer(*upstreams) as b:
+            callers = [await b.connect() for _ in range(8)]
+            await until(lambda: len(b.node.server._connections) == 8)
+            drained = asyncio.get_running_loop().create_task(b.node.server.drain(100.0))
+            await until(lambda: b.node.server.draining)
+            for caller in callers[:6]:
+                caller.send()
+            await until(lambda: sum(len(u.got) for u in upstreams) == 6)
+            for _ in range(2):  # the last but one may ask again as often as it likes
+                refused = await callers[6].ask()
+                assert refused is not None and refused.status == 503 and refused.reusable
+                assert b"Retry-After" in dict(refused.headers)
+            for upstream in upstreams:
+                upstream.reply = OK
+                for writer in upstream.writers:
+                    writer.write(OK)
+            for caller in callers[:6]:
+                answer = await caller.answer()
+                assert answer is not None and answer.status == 200 and answer.reusable
+            answer = await callers[6].ask()
+            assert answer is not None and answer.status == 200
+            b.hang_up()
+            await drained
+
+    run(test())
+
+
 def test_a_drain_takes_late_comers_and_finishes_what_is_open() -> None:
     async def test() -> None:
         release = asyncio.Event()
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -176,12 +176,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A client's request; exactly one final answer is owed within `remaining_ms`."""
+    """A client's request; exactly one final answer is owed within `remaining_ms`.
+
+    `free_connections`: those left to the callers while they can open no more, as in a drain.
+    """
 
     request: int
     class_name: str
     remaining_ms: float
     tenant: str | None = None
+    free_connections: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -30,6 +30,10 @@
 WAITING_SPARE = 64  # entries beyond the open requests from which the waiting line is rid of the answered ones
 WAIT_SHARE = 0.1  # share of its aim that a request may wait for room before it is refused
 AWAY_SHARE = 0.25  # share of its aim that a refused client is told to stay away: room changes, its aim runs
+# Callers that find every connection busy go elsewhere for good, even if nobody is there. One that is refused
+# has its connection back at once. Guards any drain under load; it does harm where callers don't share their
+# connections, as what is kept free is then of no use to the others: a few callers are therefore let be.
+KEPT_FREE, KEPT_FOR = 2, 3  # at most so many connections kept free in a drain, one for each so many requests
 TRY_STEP_MS = 50.0  # tries that give this much the same time are alike; the commonest are first tries
 RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
 RETRY_BURST = 10.0  # further attempts that may be saved up
@@ -181,6 +185,9 @@
             self._mark_later_try(request, event.remaining_ms)
         self._requests[request.id] = request
         self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
+        if event.free_connections < min(KEPT_FREE, len(self._requests) // KEPT_FOR):
+            self._give_up(request)
+            return
         if self._crowded(request):
             self._refuse_for_room(request, now)
             return
