--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -338,6 +338,13 @@
     assert batch(Desk(16, balancers=2), 40, 20.0) == 32
 
 
+def test_a_small_room_is_divided_once_calls_take_twice_as_long() -> None:
+    desk = Desk(4, balancers=2)
+    assert steady(desk, 20.0, rounds=40, asked=8) == 8
+    assert batch(desk, 40, 20.0) >= 16, "a burst while calls are quick"
+    assert steady(desk, 60.0, rounds=40) < 12, "what their half of the fleet has room for, and a little"
+
+
 def test_connections_are_kept_free_while_callers_can_open_no_more() -> None:
     desk = Desk(4)
     few = [desk.ask(free_connections=0)[1] for _ in range(2)]
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -10,8 +10,10 @@
 FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
 # Of a smaller room chance alone refuses much, all the more while another balancer is away and its callers
 # come here, which nobody tells us. Guards too against a lowest time in service that few calls made too low.
-# It can do harm on fleets of under 8 servers: they are crowded once several balancers use it in full.
-LEAST_ROOM = 16.0  # calls out that a balancer lets through in any case, up to the room of all servers
+# It can do harm on fleets of under 8 servers, which several balancers' least rooms crowd: so it holds only
+# while calls take about as long as at best, and is gone where they take twice that.
+LEAST_ROOM = 16.0  # calls out that a balancer then lets through, up to the room of all servers
+LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 
 
@@ -56,7 +58,10 @@
         ours = ready / self._balancers
         # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
         queued = ours + self.base * self._aims / RATE_MEMORY_MS
-        least = min(LEAST_ROOM, FREE_PER_SERVER * ready)
+        lowest = self.base * self._aims
+        slower = self._spent / lowest if lowest else 1.0
+        calm = min(max((LEAST_NONE - slower) / (LEAST_NONE - LEAST_FULL), 0.0), 1.0)
+        least = calm * min(LEAST_ROOM, FREE_PER_SERVER * ready)
         room = max(FREE_PER_SERVER * ours, queued, least)
         # A burst may pass, a standing crowd does harm: the room bounds the mean once it has been measured.
         return 2 * room - min(self._spent / RATE_MEMORY_MS, room) if self.base else room
