One seam to the machine: clocks, listening and polling; Node has a file of its own

Need: the rehearsal is to run the real server, engine, upstream and discovery on a simulated clock and network. What tied them to time, select and socket is now passpost/host.py; all else goes through asyncio's loop. Connections are kept in order of coming: a set's order follows object ids, and would leak into what is closed first. Node moves from __main__ to node.py.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
+from passpost.host import HOST, Host
 from passpost.http1 import Address, Answer
 from passpost.upstream import Attempt, Outgoing, Upstreams
 from umberworks import interface as face
@@ -56,8 +56,10 @@
         upstreams: Upstreams,
         subscribe: Callable[[], None],
         answer_grace: float,
+        host: Host = HOST,
+        module: type[Balancer] = Balancer,
     ) -> None:
-        self._balancer = Balancer(settings, seed)
+        self._balancer = module(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
         self._upstreams, self._subscribe, self._grace = upstreams, subscribe, answer_grace
         self._requests: dict[int, _Open] = {}
@@ -66,13 +68,14 @@
         self._handling = False
         # The module takes an `up_since_ms` of 0 or less for long ago and compares others with its clock: it
         # needs Unix time. The system's clock may be set back, so that it is read only once.
-        self._epoch_ms = time.time() * 1000 - time.monotonic() * 1000
+        self._monotonic = host.monotonic
+        self._epoch_ms = host.unix() * 1000 - host.monotonic() * 1000
         self._now = 0.0
         self.has_upstreams = False
 
     def now(self) -> float:
         """The module's clock."""
-        self._now = max(self._now, self._epoch_ms + time.monotonic() * 1000)
+        self._now = max(self._now, self._epoch_ms + self._monotonic() * 1000)
         return self._now
 
     # ---- happenings
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-Address = tuple[str, int]
+from passpost.host import Address as Address
+
 Headers = list[tuple[bytes, bytes]]
 
 MAX_HEAD = 16 * 1024
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -5,15 +5,14 @@
 import asyncio
 import logging
 import math
-import socket
-import time
 from collections import deque
 from dataclasses import dataclass
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
 from passpost.engine import Engine
+from passpost.host import HOST, Host
 from passpost.http1 import MAX_BODY, MAX_HEAD, Address, Answer, Headers, end_to_end, write_headers
 from passpost.upstream import Outgoing
 from passpost.validation import BadRequestError, Call, check
@@ -66,6 +65,7 @@
 
     def __init__(self, server: Server) -> None:
         self._server = server
+        self._monotonic = server.monotonic
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._target, self._headers, self._body = b"", list[tuple[bytes, bytes]](), bytearray()
@@ -79,7 +79,7 @@
         self._bad = 0  # the status that ends this connection once all before it is answered
         self._lingers = False
         self._clogged = False  # answers pile up unread
-        self.since = time.monotonic()  # of the last change: idle, reading or lingering
+        self.since = self._monotonic()  # of the last change: idle, reading or lingering
 
     # ---- asyncio's callbacks
 
@@ -132,7 +132,7 @@
         self._target, self._headers, self._body = b"", [], bytearray()
         self._reading, self._in_head = True, True
         if self._current is None and self._useful:  # the first request has its time from connecting on
-            self.since = time.monotonic()
+            self.since = self._monotonic()
 
     def on_url(self, url: bytes) -> None:
         """A piece of the target."""
@@ -172,7 +172,7 @@
         self._reading, self._in_head = False, True
         if not self._bad:
             keep_alive = self._parser.should_keep_alive()
-            self._waiting.append(_Request(self._call, bytes(self._body), keep_alive, time.monotonic()))
+            self._waiting.append(_Request(self._call, bytes(self._body), keep_alive, self._monotonic()))
 
     # ---- from a request to its answer
 
@@ -198,7 +198,7 @@
         if call is None:
             self._finish(200 if self._server.is_ready() else 503)
             return
-        waited = time.monotonic() - request.came  # behind another
+        waited = self._monotonic() - request.came  # behind another
         remaining = min(call.remaining - waited, self._server.time_left())
         if remaining <= 0:
             self.fail(504)
@@ -247,7 +247,7 @@
             return
         self._current, self._number = None, None
         self._release()
-        self.since = time.monotonic()
+        self.since = self._monotonic()
         ends = self._server.closing or self._server.is_crowded()
         # What was sent ahead is owed an answer first.
         close = not request.keep_alive or (ends and not self._waiting)
@@ -280,7 +280,7 @@
     def _linger(self) -> None:
         """End our side only: a close with bytes unread would reset the connection and lose the error."""
         self._lingers = True
-        self.since = time.monotonic()
+        self.since = self._monotonic()
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
 
@@ -311,7 +311,7 @@
     def close(self) -> None:
         """Close between requests; a caller that leaves its last answer unread can't hold us up for long."""
         self._lingers = True
-        self.since = time.monotonic()
+        self.since = self._monotonic()
         if self._transport is not None:
             self._transport.close()
 
@@ -355,16 +355,16 @@
 class Server:
     """The listening socket and the connections that came in by it, `max_open` at most."""
 
-    def __init__(self, engine: Engine, address: Address, max_open: int) -> None:
+    def __init__(self, engine: Engine, address: Address, max_open: int, host: Host = HOST) -> None:
         self.engine = engine
+        self.monotonic = host.monotonic
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
         self._max_open = max_open
-        self._connections: set[_Connection] = set()
+        self._connections: dict[_Connection, None] = {}  # in order of coming: a set's would be chance
         self.open_ids: set[bytes] = set()
         self._accepting = False
-        self._socket = socket.create_server(address, backlog=BACKLOG, family=_family(address))
-        self._socket.setblocking(False)
+        self._socket = host.listen(address, BACKLOG)
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[object]] = set()
 
@@ -391,7 +391,7 @@
 
     def forget(self, connection: _Connection) -> None:
         """A connection is over; another may come in for it."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         if self._socket.fileno() >= 0:
             self._resume()
 
@@ -401,8 +401,8 @@
         At first only readiness ends: a caller keeps its connection until the last call, and then each answer
         closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
-        self.draining, self._ends = True, time.monotonic() + within
-        self._dealt_until = time.monotonic() + DEALT_AFTER_STOP_S
+        self.draining, self._ends = True, self.monotonic() + within
+        self._dealt_until = self.monotonic() + DEALT_AFTER_STOP_S
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
         while self._connections and self.time_left() > LAST_CALL_S:
             await asyncio.sleep(DRAIN_STEP_S)
@@ -424,13 +424,13 @@
 
     def free_connections(self) -> float:
         """How many more requests callers can send at once; no bound while they can open connections."""
-        if self.closing or time.monotonic() < self._dealt_until:
+        if self.closing or self.monotonic() < self._dealt_until:
             return math.inf
         return sum(connection.is_free() for connection in self._connections)
 
     def time_left(self) -> float:
         """How long a request may stay open, in seconds: after a drain the process may be killed."""
-        return self._ends - time.monotonic()
+        return self._ends - self.monotonic()
 
     def _resume(self) -> None:
         if not self._accepting and len(self._connections) < self._max_open:
@@ -462,17 +462,17 @@
                 self._pause()  # the sweep tries again
                 return False
             if spare is not None:
-                self._connections.discard(spare)
+                self._connections.pop(spare, None)
                 spare.give_way()
             client.setblocking(False)
             connection = _Connection(self)
-            self._connections.add(connection)
+            self._connections[connection] = None
             task = asyncio.get_running_loop().create_task(self._adopt(client, connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         return False
 
-    async def _adopt(self, client: socket.socket, connection: _Connection) -> None:
+    async def _adopt(self, client: Any, connection: _Connection) -> None:
         try:
             await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, client)
         except OSError as error:
@@ -487,12 +487,8 @@
 
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
-        now = time.monotonic()
+        now = self.monotonic()
         for connection in list(self._connections):
             connection.sweep(now)
         if self._socket.fileno() >= 0:
             self._resume()
-
-
-def _family(address: Address) -> socket.AddressFamily:
-    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -7,12 +7,11 @@
 
 import asyncio
 import logging
-import select
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
+from passpost.host import HOST, Host
 from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
 from umberworks.interface import Outcome
 
@@ -40,18 +39,19 @@
 class Attempt:
     """One attempt; it ends exactly once, with the outcome that `done` is told."""
 
-    def __init__(self, request: Outgoing, timeout: float, done: Done) -> None:
+    def __init__(self, request: Outgoing, timeout: float, done: Done, host: Host) -> None:
         loop = asyncio.get_running_loop()
         self.request = request
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
-        self._ends = time.monotonic() + timeout
+        self._monotonic = host.monotonic
+        self._ends = host.monotonic() + timeout
         self._timer = loop.call_later(timeout, self._timed_out)
         self._done: Done | None = done
 
     def remaining(self) -> float:
         """How long we still wait, in seconds."""
-        return max(self._ends - time.monotonic(), 0.0)
+        return max(self._ends - self._monotonic(), 0.0)
 
     def is_over(self) -> bool:
         """Whether the outcome has been told."""
@@ -89,7 +89,7 @@
         self._attempt: Attempt | None = None
         self._reader: AnswerReader | None = None
         self._transport: asyncio.Transport | None = None
-        self._poll = select.poll()
+        self._told: Callable[[int], object] = lambda timeout: True  # until there is a transport
         self.unwritten = True
         self.idle_since = 0.0
 
@@ -107,7 +107,7 @@
         An end, or bytes behind the answer, may lie in the kernel unread: the loop has had no turn since. What
         is written then is lost, or the stray bytes are taken for its answer.
         """
-        return self._transport is None or self._transport.is_closing() or bool(self._poll.poll(0))
+        return self._transport is None or self._transport.is_closing() or bool(self._told(0))
 
     def drop(self) -> None:
         """Close at once; an attempt on it has been told its end."""
@@ -122,7 +122,7 @@
         """With a high-water mark of 0, pause_writing tells of every byte that has not gone out yet."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's do not derive from it
         self._transport.set_write_buffer_limits(high=0)
-        self._poll.register(transport.get_extra_info("socket"), select.POLLIN | select.POLLRDHUP)
+        self._told = self._pool.host.watcher(transport)
 
     def pause_writing(self) -> None:
         """Part of the request is still with us: the upstream can't have begun it."""
@@ -183,13 +183,14 @@
     def __init__(self, name: str, address: Address) -> None:
         self.name, self.address = name, address
         self.idle: list[_Connection] = []  # the most recently used last
-        self.open: set[_Connection] = set()
+        self.open: dict[_Connection, None] = {}  # in order: a set's would differ from run to run
 
 
 class Upstreams:
     """All upstreams by name, and the connections to them, of which there are `max_open` at most."""
 
-    def __init__(self, connect_timeout: float, idle_timeout: float, max_open: int) -> None:
+    def __init__(self, connect_timeout: float, idle_timeout: float, max_open: int, host: Host = HOST) -> None:
+        self.host = host
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_timeout * IDLE_SHARE
         self._max_open = max_open
@@ -221,7 +222,7 @@
 
     def send(self, server: str, request: Outgoing, timeout: float, done: Done) -> Attempt:
         """Make one attempt; `done` is told its outcome once, later or at once."""
-        attempt = Attempt(request, timeout, done)
+        attempt = Attempt(request, timeout, done, self.host)
         upstream = self._upstreams.get(server)
         if upstream is None:
             attempt.end(Outcome.NOT_SENT)
@@ -230,7 +231,7 @@
             self._carry(connection, attempt)
         elif self._has_room():
             connection = _Connection(upstream, self)
-            upstream.open.add(connection)
+            upstream.open[connection] = None
             self._open += 1
             attempt.connecting = asyncio.get_running_loop().create_task(
                 self._connect(connection, upstream, attempt)
@@ -244,7 +245,7 @@
 
     def _idle(self, upstream: _Upstream) -> _Connection | None:
         """The idle connection to use: the latest that has rested, else the one idle for longest."""
-        limit = time.monotonic() - REST_S
+        limit = self.host.monotonic() - REST_S
         rested = [c for c in upstream.idle if c.idle_since <= limit]
         for connection in [*reversed(rested), *upstream.idle[len(rested) :]]:
             if not connection.is_spent():
@@ -258,13 +259,13 @@
         if self._upstreams.get(upstream.name) is not upstream:
             connection.drop()
             return
-        connection.idle_since = time.monotonic()
+        connection.idle_since = self.host.monotonic()
         upstream.idle.append(connection)
 
     def forget(self, connection: _Connection, upstream: _Upstream) -> None:
         """A connection is over."""
         if connection in upstream.open:
-            upstream.open.remove(connection)
+            del upstream.open[connection]
             self._open -= 1
             if connection in upstream.idle:
                 upstream.idle.remove(connection)
@@ -310,7 +311,7 @@
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
         self._said_full = False
-        limit = time.monotonic() - self._idle_limit
+        limit = self.host.monotonic() - self._idle_limit
         for upstream in self._upstreams.values():
             while upstream.idle and upstream.idle[0].idle_since < limit:
                 upstream.idle[0].drop()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -16,8 +16,8 @@
 import uvloop
 
 from passpost import config
-from passpost.__main__ import Node
 from passpost.http1 import Answer, AnswerReader
+from passpost.node import Node
 
 PATIENCE = 20.0  # a hanging test fails in the end; no test depends on the figure
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -7,27 +7,24 @@
 import pytest
 
 from passpost import config
-from passpost.discovery import Discovery
 from passpost.engine import Engine
+from passpost.host import Host
 from passpost.upstream import Upstreams
 from tests.loopback import config_data
 from umberworks.interface import Member
 
 
-def engine() -> Engine:
-    read = config.read(config_data([]))
-    upstreams = Upstreams(read.connect_timeout, read.idle_timeout, 10)
-    return Engine(read.settings, 1, upstreams, Discovery(read.discovery, read.known).subscribe, 0.016)
-
-
-def test_the_clock_is_unix_time_and_never_goes_back(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_clock_is_unix_time_and_never_goes_back() -> None:
     # Against any other base, an upstream that started a second ago would look like one of long ago.
-    started = engine()
+    host = Host()
+    read = config.read(config_data([]))
+    started = Engine(read.settings, 1, Upstreams(1.0, 1.0, 10), lambda: None, 0.016, host)
     first = started.now()
     assert first == pytest.approx(time.time() * 1000, abs=600_000)
-    monkeypatch.setattr(time, "time", lambda: 5.0)  # the system's clock is set back
-    monkeypatch.setattr(time, "monotonic", lambda: 0.0)
+    host.unix = lambda: 5.0  # the system's clock is set back
     assert started.now() >= first
+    started = Engine(read.settings, 1, Upstreams(1.0, 1.0, 10), lambda: None, 0.016, host)
+    assert started.now() == pytest.approx(5_000, abs=600_000)
 
 
 def test_a_young_upstream_is_cold_to_the_module() -> None:
