Rehearsal: the real balancer on a simulated clock and network, or live, from one script

The same script runs virtually in one process or live against 'python -m passpost' processes. passpost rehearse and passpost explore; 14 nights under rehearsals/. Each rule's check is proven by a balancer broken on purpose.

--- /dev/null
+++ b/passpost/cli/rehearse.py
@@ -0,0 +1,138 @@
+"""`passpost rehearse SCRIPT`: play a night and say what came of it."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import TextIO
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+from rich.table import Table
+
+from passpost.cli.command import UnusableError
+from passpost.rehearsal import report
+from passpost.rehearsal.script import ScriptError, load
+from passpost.rehearsal.summary import Line, Summary, summarize
+from passpost.rehearsal.watch import RULES
+from passpost.rehearsal.world import Night
+
+MOST_STORIES = 3
+
+
+@click.command(name="rehearse")
+@click.argument("script")
+@click.option("--seed", type=int, help="Another draw of the same night; the script's own by default.")
+@click.option("--live", is_flag=True, help="Real balancer processes on loopback, in real time.")
+@click.option("--decisions", metavar="FILE", help="Write one line for each routing decision.")
+@click.option("--report", "page", metavar="FILE.html", help="Write a page with plots over time.")
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
+def command(
+    script: str, seed: int | None, live: bool, decisions: str | None, page: str | None, as_json: bool
+) -> int:
+    """Play the night that SCRIPT describes, and watch the four rules from outside.
+
+    Without --live it is played in simulated time: minutes take seconds, and the same script and seed give the
+    same decisions to the byte. Exit status: 0 all rules kept, 1 a rule broken or a crash, 2 a script that
+    can't be used.
+    """
+    try:
+        night_script = load(script)
+    except ScriptError as error:
+        raise UnusableError(str(error)) from None
+    chosen = night_script.seed if seed is None else seed
+    with ExitStack() as stack:
+        sink = _open(decisions, stack)
+        console = Console(stderr=True)
+        bar = Progress(
+            TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:3.0f}%"),
+            TimeElapsedColumn(), console=console, transient=True, disable=not console.is_terminal,
+        )  # fmt: skip
+        stack.enter_context(bar)
+        task = bar.add_task(night_script.title, total=1.0)
+
+        def progress(share: float) -> None:
+            bar.update(task, completed=share)
+
+        write: Callable[[str], None] | None = None
+        if sink is not None:
+
+            def write(line: str) -> None:
+                sink.write(line + "\n")
+
+        if live:
+            from passpost.rehearsal.live import UnplayableError
+            from passpost.rehearsal.live import play as play_live
+
+            try:
+                night = play_live(night_script, chosen, write, progress)
+            except UnplayableError as error:
+                raise UnusableError(f"{script}: {error}") from None
+        else:
+            from passpost.rehearsal.virtual import play
+
+            night = play(night_script, chosen, write, progress)
+    figures = summarize(night)
+    if page is not None:
+        try:
+            Path(page).write_text(report.write(night), encoding="utf-8")
+        except OSError as error:
+            raise UnusableError(f"{page}: {error.strerror}") from None
+    if as_json:
+        more = {"good": night.is_good(), "first_break": night.breaks[0].text if night.breaks else None}
+        click.echo(json.dumps(figures.as_json() | more, indent=2))
+    else:
+        show(night, figures)
+    return 0 if night.is_good() else 1
+
+
+def _open(path: str | None, stack: ExitStack) -> TextIO | None:
+    if path is None:
+        return None
+    try:
+        return stack.enter_context(open(path, "w", encoding="utf-8"))
+    except OSError as error:
+        raise UnusableError(f"{path}: {error.strerror}") from None
+
+
+def show(night: Night, figures: Summary) -> None:
+    """The table, and the story of whatever went against the rules."""
+    console = Console(highlight=False, width=None if sys.stdout.isatty() else 100)
+    table = Table(title=f"{figures.title} (seed {figures.seed})", title_justify="left")
+    table.add_column("")
+    for head in ("requests", "served", "in time", "refused", "failed", "p50 ms", "p99 ms", "worth"):
+        table.add_column(head, justify="right")
+    for line in (figures.whole, *figures.by_class, *figures.by_tenant):
+        table.add_row(*_cells(line))
+    console.print(table)
+    console.print(
+        f"{figures.attempts_each:.2f} attempts and {figures.tries_each:.2f} tries a request; "
+        f"{figures.seconds:.0f} s played in {figures.wall_s:.1f} s"
+    )
+    for rule, text in RULES.items():
+        broken = figures.breaks[rule]
+        console.print(f"  {text}: " + (f"[bold red]broken {broken} times[/]" if broken else "[green]kept[/]"))
+    for fault in night.faults[:MOST_STORIES]:
+        console.print(f"[bold red]fault:[/] {fault}", markup=True)
+    for found in night.breaks[:MOST_STORIES]:
+        console.print(f"\n[bold red]{RULES[found.rule]}:[/] {found.text}")
+        for row in found.story:
+            console.print(f"  {row}", markup=False)
+
+
+def _cells(line: Line) -> tuple[str, ...]:
+    return (
+        line.name,
+        f"{line.requests:,}",
+        f"{line.served:.1%}",
+        f"{line.in_time:.1%}",
+        f"{line.refused:.1%}",
+        f"{line.failed:.1%}",
+        f"{line.p50_ms:.0f}",
+        f"{line.p99_ms:.0f}",
+        f"{line.worth:.1%}",
+    )
--- /dev/null
+++ b/passpost/rehearsal/live.py
@@ -0,0 +1,196 @@
+"""Plays a night in real time against real balancer processes, `python -m passpost`, on loopback.
+
+Nodes, clients and the list run in this process; each balancer is a process of its own with its own files.
+What an ordinary user can't ask of a real machine is refused: setting a clock, and cuts and delays that do not
+end at a node. A node that is paused, cut off or delayed does so itself, so that new connections to it still
+come up; on simulated wires they don't.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Any, TypeVar
+
+import uvloop
+
+from passpost.host import HOST, Address
+from passpost.rehearsal import model
+from passpost.rehearsal.model import Script
+from passpost.rehearsal.stage import Running, Stage
+from passpost.rehearsal.world import Night, World
+
+T = TypeVar("T")
+
+LOOK_S = 0.02  # how soon the end of a balancer is seen
+MOST_BALANCERS = 64  # processes on one machine
+
+
+class UnplayableError(Exception):
+    """A script that needs what a live night has not."""
+
+
+def check(script: Script) -> None:
+    """Raises UnplayableError with the event that can't be played live."""
+    nodes = set(script.node_names())
+    if len(script.balancer_names()) > MOST_BALANCERS:
+        raise UnplayableError(f"tiers: over {MOST_BALANCERS} balancers, too many processes to play live")
+    for i, event in enumerate(script.events):
+        if isinstance(event, model.Clock):
+            raise UnplayableError(
+                f"events[{i}].kind: 'clock' can't be played live, as it would need privileges"
+            )
+        if isinstance(event, model.Partition):
+            sides = [_matching(side, script) for side in (event.a, event.b)]
+            if not any(side <= nodes for side in sides):
+                raise UnplayableError(f"events[{i}].a: live, one side of a partition must be nodes only")
+        if isinstance(event, model.Delay) and not _matching(event.nodes, script) <= nodes:
+            raise UnplayableError(f"events[{i}].nodes: live, only nodes can be delayed")
+        others = {"clients", "discovery"}
+        if isinstance(event, model.Pause) and _matching(event.nodes, script) & others:
+            raise UnplayableError(f"events[{i}].nodes: live, only nodes and balancers can be paused")
+
+
+def _matching(patterns: tuple[str, ...], script: Script) -> set[str]:
+    names = [*script.node_names(), *script.balancer_names(), "clients", "discovery"]
+    return {n for n in names if any(fnmatchcase(n, p) for p in patterns)}
+
+
+class _Process(Running):
+    def __init__(
+        self, stage: LiveStage, name: str, config: dict[str, Any], ended: Callable[[int | None], None]
+    ) -> None:
+        self._ended, self._stage = ended, stage
+        self._path = stage.folder / f"{name}.json"
+        self._write(config)
+        with open(stage.folder / f"{name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "passpost"],
+                env=os.environ | {"EDGE_CONFIG": str(self._path)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self._look()
+
+    def _write(self, config: dict[str, Any]) -> None:
+        whole = self._path.with_suffix(".new")
+        whole.write_text(json.dumps(config), encoding="utf-8")
+        whole.replace(self._path)
+
+    def _look(self) -> None:
+        if not self.alive:
+            return
+        status = self.process.poll()
+        if status is None:
+            asyncio.get_running_loop().call_later(LOOK_S, self._look)
+        else:
+            self.alive = False
+            self._ended(status)
+
+    def terminate(self) -> None:
+        if self.alive:
+            self.process.send_signal(signal.SIGTERM)
+
+    def reload(self, config: dict[str, Any]) -> None:
+        if self.alive:
+            self._write(config)
+            self.process.send_signal(signal.SIGHUP)
+
+    def kill(self) -> None:
+        if self.alive:
+            self.alive = False
+            self.process.kill()
+            self.process.wait()
+
+
+class LiveStage(Stage):
+    """The machine's clock and loopback."""
+
+    exact = False
+    host = HOST
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self._count = 0
+        self._begin = time.monotonic()
+        self.running: dict[str, _Process] = {}
+
+    def now(self) -> float:
+        return time.monotonic() - self._begin
+
+    def run_as(self, machine: str, call: Callable[[], T]) -> T:
+        return call()
+
+    def launch(self, name: str, config: dict[str, Any], ended: Callable[[int | None], None]) -> Running:
+        running = self.running[name] = _Process(self, name, config, ended)
+        return running
+
+    def free_address(self) -> Address:
+        # An address of its own: on 127.0.0.1 an outgoing connection could take the port before the balancer.
+        self._count += 1
+        host = f"127.1.{self._count // 250}.{self._count % 250 + 1}"
+        with socket.create_server((host, 0)) as held:
+            return host, int(held.getsockname()[1])
+
+    def kill(self, machine: str) -> None:
+        """Nodes close by themselves."""
+
+    def pause(self, machine: str, on: bool) -> None:
+        running = self.running.get(machine)
+        if running is not None and running.alive:
+            running.process.send_signal(signal.SIGSTOP if on else signal.SIGCONT)
+
+    def cut(self, a: str, b: str, on: bool) -> None:
+        raise AssertionError("the world freezes nodes instead")
+
+    def delay(self, machine: str, seconds: float) -> None:
+        raise AssertionError("the world delays nodes instead")
+
+    def set_clock(self, machine: str, by: float) -> None:
+        raise AssertionError("refused by check")
+
+    def unix_ms(self) -> float:
+        return time.time() * 1000
+
+    def written_at(self, transport: asyncio.BaseTransport) -> float:
+        return self.now()
+
+    def crossed(self, transport: asyncio.BaseTransport, reused: bool) -> bool:
+        return reused  # it can't be seen; only a first request on a connection is sure to have been read
+
+
+def play(
+    script: Script,
+    seed: int,
+    sink: Callable[[str], None] | None = None,
+    progress: Callable[[float], None] = lambda share: None,
+) -> Night:
+    """One whole night in real time. `sink` gets attempts as nodes see them, and refusals as clients do."""
+    check(script)
+    begun = time.perf_counter()
+    with tempfile.TemporaryDirectory(prefix="passpost-") as folder:
+
+        async def night() -> Night:
+            stage = LiveStage(Path(folder))
+            world = World(stage, script, seed, progress)
+            world.watch.sink = sink
+            try:
+                return await world.play()
+            finally:
+                for running in stage.running.values():
+                    running.kill()
+
+        result = uvloop.run(night())
+    result.wall_s = time.perf_counter() - begun
+    return result
--- /dev/null
+++ b/passpost/rehearsal/stage.py
@@ -0,0 +1,118 @@
+"""What a night is played on: a clock, machines that can be paused, cut off and killed, and balancers.
+
+Two of them play the same script: `virtual.py` in simulated time within one process, `live.py` with real
+balancer processes on loopback. All that the world (world.py) does goes through this class or asyncio's loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from passpost.host import Address, Host
+
+T = TypeVar("T")
+
+
+class Running(ABC):
+    """A balancer that has been started. What `launch` is given as `ended` hears its exit status once."""
+
+    alive = True
+
+    @abstractmethod
+    def terminate(self) -> None:
+        """SIGTERM."""
+
+    @abstractmethod
+    def reload(self, config: dict[str, Any]) -> None:
+        """Replace its file and send SIGHUP."""
+
+    @abstractmethod
+    def kill(self) -> None:
+        """SIGKILL."""
+
+
+class Stage(ABC):
+    """One way to play a night. Times are seconds since `begin`."""
+
+    exact: bool  # whether bytes carry the moment at which they were written
+    host: Host
+
+    @abstractmethod
+    def now(self) -> float:
+        """The night's time."""
+
+    @abstractmethod
+    def run_as(self, machine: str, call: Callable[[], T]) -> T:
+        """Call something on a machine; its timers and connections belong to it."""
+
+    @abstractmethod
+    def launch(self, name: str, config: dict[str, Any], ended: Callable[[int | None], None]) -> Running:
+        """Start a balancer on a machine of this name."""
+
+    @abstractmethod
+    def free_address(self) -> Address:
+        """An address on which nobody listens yet, for a balancer."""
+
+    @abstractmethod
+    def kill(self, machine: str) -> None:
+        """The process dies: its connections are reset and its listeners gone. A next `run_as` starts anew."""
+
+    @abstractmethod
+    def pause(self, machine: str, on: bool) -> None:
+        """Stop it, or let it go on."""
+
+    @abstractmethod
+    def cut(self, a: str, b: str, on: bool) -> None:
+        """Nothing passes between two machines, or again all does."""
+
+    @abstractmethod
+    def delay(self, machine: str, seconds: float) -> None:
+        """All to and from it takes so much longer (negative: no longer), each way."""
+
+    @abstractmethod
+    def set_clock(self, machine: str, by: float) -> None:
+        """Set its wall clock forward or back."""
+
+    @abstractmethod
+    def unix_ms(self) -> float:
+        """What the wall clock of all shows, in milliseconds."""
+
+    @abstractmethod
+    def written_at(self, transport: asyncio.BaseTransport) -> float:
+        """When the bytes that are being read were written; now, where that can't be seen."""
+
+    @abstractmethod
+    def crossed(self, transport: asyncio.BaseTransport, reused: bool) -> bool:
+        """Whether the other side closed without having read all that we sent."""
+
+
+def listen(
+    host: Host, address: Address, factory: Callable[[], asyncio.Protocol], backlog: int = 1024
+) -> tuple[Address, Callable[[], None]]:
+    """Accept connections from now on; the address that was got, and what ends it."""
+    loop = asyncio.get_running_loop()
+    listener = host.listen(address, backlog)
+    tasks: set[asyncio.Task[Any]] = set()
+
+    def accept() -> None:
+        try:
+            client, _ = listener.accept()
+        except (BlockingIOError, ConnectionError):
+            return
+        client.setblocking(False)
+        task = loop.create_task(loop.connect_accepted_socket(factory, client))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    loop.add_reader(listener, accept)
+
+    def end() -> None:
+        if listener.fileno() >= 0:
+            loop.remove_reader(listener)
+            listener.close()
+
+    name = listener.getsockname()
+    return (str(name[0]), int(name[1])), end
--- /dev/null
+++ b/tests/rehearsal/nights.py
@@ -0,0 +1,97 @@
+"""What the rehearsal's tests share: small nights, and balancers broken on purpose."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from passpost.rehearsal import model
+from passpost.rehearsal.model import Class, Clients, Contract, Discovery, Event, Kind, Script, Tier
+from passpost.rehearsal.virtual import play
+from passpost.rehearsal.world import Night
+from umberworks import interface as face
+from umberworks.rules import Balancer
+
+FRAME = Class(name="frame", work_ms=40, aim_ms=600, deadline_ms=2_000)
+SUBMIT = Class(name="submit", work_ms=20, aim_ms=400, deadline_ms=1_500, effect="keyed", window_ms=1_000)
+INVOICE = Class(name="invoice", work_ms=20, aim_ms=400, deadline_ms=1_500, effect="unsafe")
+
+
+def script(*events: Event, tiers: int = 1, **changes: Any) -> Script:
+    """A small night of five seconds."""
+    kinds = (Kind(name="fast", count=1, speed=2.0), Kind(name="plain", count=3))
+    last = Tier(name="render", kinds=kinds, balancers=1 if tiers > 1 else 2, part=0.5 if tiers > 1 else 1.0)
+    first = Tier(name="front", kinds=kinds, balancers=2, part=0.5)
+    base: dict[str, Any] = {
+        "version": 1,
+        "title": "A small night",
+        "length_s": 5.0,
+        "contract": Contract(cold_ms=4_000, ask_within_ms=3_000),
+        "discovery": Discovery(notice_s=(0.1, 0.3)),
+        "clients": Clients(rate_per_s=50),
+        "classes": (FRAME, SUBMIT, INVOICE),
+        "tiers": (first, last) if tiers > 1 else (last,),
+        "events": events,
+    }
+    return msgspec.convert(msgspec.to_builtins(Script(**(base | changes))), Script)
+
+
+def decisions(night: Script, seed: int, module: type[Balancer] = Balancer) -> tuple[Night, list[str]]:
+    lines: list[str] = []
+    return play(night, seed, lines.append, module=module), lines
+
+
+class ServesTwice(Balancer):
+    """Sends every tenth request a second time, whatever its class."""
+
+    def handle(self, event: face.Event, now: float) -> list[face.Action]:
+        found = []
+        for action in super().handle(event, now):
+            found.append(action)
+            if isinstance(action, face.Send) and action.request % 10 == 0:
+                found.append(action)
+        return found
+
+
+class IgnoresDrains(Balancer):
+    """Takes every node that the list still names for ready."""
+
+    def handle(self, event: face.Event, now: float) -> list[face.Action]:
+        if isinstance(event, face.ListUpdate):
+            members = tuple(
+                replace(m, readiness=face.Readiness.READY) if m.readiness is face.Readiness.DRAINING else m
+                for m in event.members
+            )
+            event = face.ListUpdate(event.kind, members)
+        return super().handle(event, now)
+
+
+class FloodsTheCold(Balancer):
+    """Takes a node that has just started for the best of all."""
+
+    def _warmth(self, server: Any, now: float) -> float:
+        return 1.0
+
+    def _cold_room(self, server: Any, now: float) -> bool:
+        return True
+
+    def _has_room(self) -> bool:
+        return True
+
+    def _crowded(self, request: Any) -> bool:
+        return False
+
+    def _pick(self, request: Any, now: float) -> Any:
+        young = [s for s in self._ready if s.member.up_since_ms > 0]
+        return young[0] if young else super()._pick(request, now)
+
+
+NIGHT_FAULTS: tuple[Event, ...] = (
+    model.Slow(at_s=1.0, for_s=2.0, nodes=("render-plain-1",), factor=5.0),
+    model.Silent(at_s=1.5, for_s=1.5, nodes=("render-plain-2",)),
+    model.Crash(at_s=2.0, for_s=1.0, nodes=("render-fast-1",)),
+    model.Kill(at_s=2.5, balancer="b1", back_s=0.5),
+    model.ListDown(at_s=2.2, for_s=1.0),
+)
--- /dev/null
+++ b/tests/rehearsal/test_network.py
@@ -0,0 +1,246 @@
+"""The simulated network keeps a kernel's manners."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passpost.rehearsal.loop import SimLoop
+from passpost.rehearsal.network import Network, SimHost, SimTransport
+from passpost.rehearsal.stage import listen
+
+ADDRESS = ("10.0.0.1", 80)
+
+
+class Side(asyncio.Protocol):
+    """Notes all that happens to it."""
+
+    def __init__(self) -> None:
+        self.log: list[str] = []
+        self.data = b""
+        self.keep_open = True
+        self.transport = cast(SimTransport, None)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(SimTransport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+
+    def eof_received(self) -> bool:
+        self.log.append("eof")
+        return self.keep_open
+
+    def pause_writing(self) -> None:
+        self.log.append("pause")
+
+    def resume_writing(self) -> None:
+        self.log.append("resume")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.log.append("reset" if exc else "closed")
+
+
+Test = Callable[[Network, Side, Side], Coroutine[Any, Any, None]]
+
+
+def between(test: Test, seed: int = 1, split: float = 0.0, window: int = 1000) -> None:
+    """Run a test with a connection that is up: the network, the client's side, the server's."""
+    loop = SimLoop(seed)  # type: ignore[abstract]
+    net = Network(loop, seed, 0.001, 0.0005, split, window)
+
+    async def main() -> None:
+        server = Side()
+        loop.spawn("server", lambda: listen(SimHost(net), ADDRESS, lambda: server))
+        client = Side()
+        await loop.create_connection(lambda: client, *ADDRESS)
+        await asyncio.sleep(0.1)
+        await test(net, client, server)
+
+    loop.run(main())
+    assert loop.faults == []
+
+
+def test_the_first_byte_that_is_not_taken_pauses_the_writer_at_once() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        client.transport.set_write_buffer_limits(high=0)
+        server.transport.pause_reading()
+        client.transport.write(b"x" * 1000)
+        assert client.log == []
+        client.transport.write(b"y")
+        assert client.log == ["pause"]  # before `write` returned
+        await asyncio.sleep(1)
+        assert client.log == ["pause"] and server.data == b""
+        server.transport.resume_reading()
+        await asyncio.sleep(1)
+        assert client.log == ["pause", "resume"] and server.data == b"x" * 1000 + b"y"
+
+    between(test)
+
+
+def test_half_closed_bytes_still_come_the_other_way() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        client.transport.write(b"question")
+        client.transport.write_eof()
+        await asyncio.sleep(0.1)
+        assert (server.data, server.log) == (b"question", ["eof"])
+        server.transport.write(b"answer")
+        server.transport.close()
+        await asyncio.sleep(0.1)
+        assert (client.data, client.log) == (b"answer", ["eof"])
+
+    between(test)
+
+
+def test_a_close_sends_what_is_unsent_first() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        client.transport.write(b"z" * 5000)  # five windows
+        client.transport.close()
+        await asyncio.sleep(1)
+        assert len(server.data) == 5000 and server.log == ["eof"]
+        assert client.log == ["closed"] or client.log[-1] == "closed"
+
+    between(test)
+
+
+def test_an_abort_drops_what_is_unsent() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        client.transport.write(b"z" * 5000)
+        client.transport.abort()
+        await asyncio.sleep(1)
+        assert len(server.data) == 1000 and client.log[-1] == "closed"
+
+    between(test)
+
+
+def test_closing_with_bytes_unread_resets_and_a_reset_throws_unread_bytes_away() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        server.transport.pause_reading()
+        client.transport.pause_reading()
+        client.transport.write(b"never read")
+        server.transport.write(b"lost with the reset")
+        await asyncio.sleep(0.1)
+        server.transport.close()
+        await asyncio.sleep(0.1)
+        client.transport.resume_reading()
+        await asyncio.sleep(0.1)
+        assert (client.data, client.log) == (b"", ["reset"])
+        assert client.transport.end.peer_unread
+
+    between(test)
+
+
+def test_writing_to_a_closed_connection_is_answered_with_a_reset() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        server.transport.close()
+        await asyncio.sleep(0.1)
+        assert client.log == ["eof"]
+        client.transport.write(b"too late")
+        await asyncio.sleep(0.1)
+        assert client.log == ["eof", "reset"]
+
+    between(test)
+
+
+def test_a_killed_process_resets_its_connections_and_is_refused() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        process = server.transport.end.process
+        net.loop.kill(process)
+        net.vanish(process)
+        await asyncio.sleep(0.1)
+        assert client.log == ["reset"] and server.log == []
+        with pytest.raises(ConnectionRefusedError):
+            await net.loop.create_connection(Side, *ADDRESS)
+
+    between(test)
+
+
+def test_what_a_cut_holds_up_arrives_in_order_after_it() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        net.cut("world", "server")
+        net.cut("world", "server")
+        client.transport.write(b"one ")
+        client.transport.write(b"two")
+        late = asyncio.ensure_future(net.loop.create_connection(Side, *ADDRESS))
+        await asyncio.sleep(5)
+        net.heal("world", "server")  # of two
+        await asyncio.sleep(5)
+        assert server.data == b"" and not late.done()
+        net.heal("world", "server")
+        await asyncio.sleep(0.1)
+        assert server.data == b"one two" and late.done()
+
+    between(test)
+
+
+def test_a_full_queue_hears_nobody_until_there_is_room() -> None:
+    loop = SimLoop(1)  # type: ignore[abstract]
+    net = Network(loop, 1, 0.001, 0.0, 0.0)
+
+    async def main() -> None:
+        listener = net.listen(ADDRESS, 2)
+        waiting = [asyncio.ensure_future(loop.create_connection(Side, *ADDRESS)) for _ in range(3)]
+        await asyncio.sleep(1)
+        assert [w.done() for w in waiting].count(True) == 2  # up, though nobody has accepted them
+        listener.accept()
+        await asyncio.sleep(1)
+        assert all(w.done() for w in waiting)
+        listener.accept()
+        listener.accept()
+        with pytest.raises(BlockingIOError):
+            listener.accept()
+
+    loop.run(main())
+
+
+def test_a_timer_and_a_byte_of_one_moment_come_in_either_order() -> None:
+    def first(seed: int) -> str:
+        loop = SimLoop(seed)  # type: ignore[abstract]
+        net = Network(loop, seed, 1.0, 0.0, 0.0)
+        order: list[str] = []
+
+        class Noting(Side):
+            def data_received(self, data: bytes) -> None:
+                order.append("byte")
+
+        async def main() -> None:
+            listen(SimHost(net), ADDRESS, Noting)
+            client = Side()
+            await loop.create_connection(lambda: client, *ADDRESS)
+            at = loop.time()
+            client.transport.write(b"x")
+            loop.call_at(at + 1.0, order.append, "timer")
+            await asyncio.sleep(3)
+
+        loop.run(main())
+        return order[0]
+
+    firsts = [first(seed) for seed in range(24)]
+    assert set(firsts) == {"byte", "timer"}
+    assert firsts == [first(seed) for seed in range(24)]
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(st.binary(min_size=1, max_size=3000), max_size=12),
+    st.integers(0, 10_000),
+    st.sampled_from([0.0, 0.5, 1.0]),
+    st.integers(1, 5000),
+)
+def test_all_bytes_arrive_once_and_in_order_and_then_the_end(
+    chunks: list[bytes], seed: int, split: float, window: int
+) -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        for chunk in chunks:
+            client.transport.write(chunk)
+        client.transport.close()
+        await asyncio.sleep(10_000)
+        assert server.data == b"".join(chunks)
+        assert server.log == ["eof"] and client.log[-1] == "closed"
+
+    between(test, seed, split, window)
