--- a/passpost/rehearsal/network.py
+++ b/passpost/rehearsal/network.py
@@ -43,7 +43,6 @@
         self.closed = False  # our process has let go of it
         self.transport: SimTransport | None = None
         self.sent_at = 0.0  # when the bytes that are being read were sent
-        self.peer_unread = False  # when the peer let go, it had not read all of ours
 
     # ---- sending
 
@@ -140,7 +139,6 @@
         if self.closed:
             return
         self.closed = True
-        self.peer.peer_unread = self.peer.in_flight > 0
         if self.reset:
             return
         if reset or self.inbox:
--- a/passpost/rehearsal/virtual.py
+++ b/passpost/rehearsal/virtual.py
@@ -173,7 +173,7 @@
 
     def crossed(self, transport: asyncio.BaseTransport, reused: bool) -> bool:
         assert isinstance(transport, SimTransport)
-        return transport.end.peer_unread
+        return transport.end.in_flight > 0  # on their way still, or unread when it closed
 
 
 class _Faults(logging.Handler):
--- a/tests/rehearsal/test_network.py
+++ b/tests/rehearsal/test_network.py
@@ -130,7 +130,19 @@
         client.transport.resume_reading()
         await asyncio.sleep(0.1)
         assert (client.data, client.log) == (b"", ["reset"])
-        assert client.transport.end.peer_unread
+        assert client.transport.end.in_flight > 0  # it was never read
+
+    between(test)
+
+
+def test_bytes_that_cross_a_close_count_as_never_read() -> None:
+    async def test(net: Network, client: Side, server: Side) -> None:
+        client.keep_open = False
+        server.transport.close()
+        client.transport.write(b"crosses it")
+        await asyncio.sleep(0.1)
+        assert client.log[0] == "eof" and client.log[-1] in ("closed", "reset")
+        assert client.transport.end.in_flight > 0
 
     between(test)
 
