--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from typing import Protocol
 
 import uvloop
 
@@ -16,9 +17,33 @@
 log = logging.getLogger("passpost")
 
 
-async def serve(path: str) -> None:
+class Beside(Protocol):
+    """What an operator's file adds to the platform's balancer."""
+
+    def reload(self) -> None:
+        """Read the file again."""
+
+    async def stop(self) -> None:
+        """Answer what was taken, then close everything."""
+
+
+def beside(path: str) -> Beside:
+    """Carry the applications of an operator's file in this process too. Loaded here, as the platform has none."""
+    try:
+        from passpost.operator import sidecar
+        from passpost.operator.reader import UnreadableError
+    except ImportError as error:
+        raise ConfigError(f"--operator needs {error.name}: pip install 'passpost[cli]'") from None
+    try:
+        return sidecar.Beside(path)
+    except (UnreadableError, sidecar.UnusableError, ValueError) as error:
+        raise ConfigError(str(error)) from None
+
+
+async def serve(path: str, operator: str | None = None) -> None:
     """Run until SIGTERM, by the configuration at `path`; SIGHUP reads it again."""
     node: Node | None = None
+    carried: Beside | None = None
 
     def reload() -> None:
         if node is None:
@@ -30,6 +55,8 @@
         else:
             log.info("configuration read again; discovery at %s:%d", *config.discovery)
             node.reload(config)
+        if carried is not None:
+            carried.reload()
 
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload)  # first of all: unhandled, it ends the process
@@ -38,9 +65,11 @@
     config = load(path)
     node = Node(config)
     log.info("%s serves on %s:%d", config.name, config.listen[0], node.server.port)
+    if operator is not None:
+        carried = beside(operator)
     await stop.wait()
     log.info("stopping: finishing what was taken")
-    await node.stop()
+    await asyncio.gather(node.stop(), *([carried.stop()] if carried is not None else []))
     loop.remove_signal_handler(signal.SIGHUP)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the loop is about to give up its handlers
 
@@ -48,8 +77,16 @@
 def main() -> int:
     """Start as the environment says; the result is the exit status."""
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    match sys.argv[1:]:
+        case []:
+            operator = None
+        case ["--operator", operator]:
+            pass
+        case _:
+            print("passpost: usage: python -m passpost [--operator FILE]", file=sys.stderr)
+            return 2
     try:
-        uvloop.run(serve(os.environ.get("EDGE_CONFIG", "")))
+        uvloop.run(serve(os.environ.get("EDGE_CONFIG", ""), operator))
     except ConfigError as error:
         print(f"passpost: {error}", file=sys.stderr)
         return 2
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -16,6 +16,7 @@
 
 log = logging.getLogger(__name__)
 
+POLL_S = 0.2  # a pushed list is looked at this often: its agent is on this machine and answers at no cost
 WATCH_MS = 10_000  # how long a watch may wait: a silent discovery is noticed this late, plus the time-out
 CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
 MAX_LIST = 4 * 1024 * 1024
@@ -97,10 +98,16 @@
 
 
 class Discovery:
-    """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does."""
+    """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does.
 
-    def __init__(self, address: Address, known: Listing) -> None:
-        self._address = address
+    A list that is pushed lies with an agent on this machine, which answers at once: nobody asks for it, and what
+    lies there counts as told, so that it is looked at again and again.
+    """
+
+    def __init__(self, address: Address, known: Listing, pushed: bool = False) -> None:
+        self._address, self._pushed = address, pushed
+        self._stopped = False
+        self._silent = False  # the agent has not answered lately; said once
         self._known = known
         self._revision: int | None = known.revision
         self._addresses: dict[str, Address] = {}
@@ -111,6 +118,8 @@
         """Tell the saved list; what comes later goes to the same place."""
         self._tell = tell
         self._apply(self._known, ListKind.SAVED)
+        if self._pushed:
+            self.subscribe()
 
     def subscribe(self) -> None:
         """Follow the list from now on, until a call fails; the failure is told."""
@@ -123,11 +132,12 @@
             return
         self._address, self._revision = address, None  # the new place may count its versions anew
         self.stop()
-        self._task = None
+        self._task, self._stopped, self._silent = None, False, False
         self.subscribe()
 
     def stop(self) -> None:
         """Ask no more."""
+        self._stopped = True
         if self._task is not None:
             self._task.cancel()
 
@@ -137,13 +147,19 @@
         try:
             while True:
                 listing = await self._call(line, wait)
-                if wait == 0 or listing.complete or listing.members:
+                first = wait == 0 and not self._pushed
+                if first or listing.complete or listing.members:
                     kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
                     self._apply(listing, kind)
-                self._revision = listing.revision
-                wait = WATCH_MS
+                self._revision, self._silent = listing.revision, False
+                if self._pushed:
+                    await asyncio.sleep(POLL_S)
+                else:
+                    wait = WATCH_MS
         except (OSError, TimeoutError, EOFError, BadAnswerError) as error:
-            log.warning("discovery: %s: %s", type(error).__name__, error)
+            if not self._silent:  # an agent is asked many times a second: one line until it is back
+                log.warning("discovery: %s: %s", type(error).__name__, error)
+            self._silent = self._pushed
         except Exception as error:
             # A bad answer must not empty or half change the list: the old one stands, asked for whole next.
             log.warning("discovery: bad answer: %s: %s", type(error).__name__, error)
@@ -151,7 +167,15 @@
         finally:
             line.hang_up()
         self._task = None
-        self._tell(ListUpdate(ListKind.FAILED), self._addresses)
+        if self._pushed:
+            asyncio.get_running_loop().call_later(POLL_S, self._again)
+        else:
+            self._tell(ListUpdate(ListKind.FAILED), self._addresses)
+
+    def _again(self) -> None:
+        """Look at the agent again, unless it was stopped or moved meanwhile."""
+        if not self._stopped:
+            self.subscribe()
 
     def _apply(self, listing: Listing, kind: ListKind) -> None:
         kept = {} if listing.complete else self._addresses
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -32,7 +32,7 @@
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, int(config.sockets * UPSTREAMS_SHARE), host
         )
-        self.discovery = Discovery(config.discovery, config.known)
+        self.discovery = Discovery(config.discovery, config.known, not config.settings.list_is_asked)
         self.engine = Engine(
             config.settings,
             config.seed,
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -234,6 +234,19 @@
         await asyncio.gather(*(c.stop(self.file) for c in self.carried.values()), *self._leaving)
 
 
+class Beside:
+    """A sidecar beside the platform's balancer, in the same process: `python -m passpost --operator FILE`."""
+
+    def __init__(self, path: str) -> None:
+        self._path, self._sidecar = path, start(path)
+
+    def reload(self) -> None:
+        reload(self._sidecar, self._path)
+
+    async def stop(self) -> None:
+        await self._sidecar.stop()
+
+
 def raise_descriptors(wanted: int) -> None:
     """Let the process have so many descriptors; OSError if the machine does not."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/passpost/operator/sources.py
+++ b/passpost/operator/sources.py
@@ -187,4 +187,4 @@
         case model.Discovered():
             address = split(source.address)
             assert address is not None  # checked
-            return Discovery(address, Listing(0, False, (), {}))
+            return Discovery(address, Listing(0, False, (), {}), source.mode == "push")
--- a/passpost/rehearsal/registry.py
+++ b/passpost/rehearsal/registry.py
@@ -105,9 +105,17 @@
         loop = asyncio.get_running_loop()
         if entry.phase != "active":
             loop.call_later(self._ask_within, self._counts_as_told, entry)
+        if self._settings.mode == "push" and not self.down:
+            self._sent(entry)
         for connection in list(self.watchers):
             self._answer_watch(connection)
 
+    def _sent(self, entry: Entry) -> None:
+        """Pushed to every balancer's agent: what the agent has counts as told, asked for or not."""
+        for balancer in self._running:
+            if self._tier_of(balancer) == entry.tier:
+                self._tell(balancer, entry)
+
     def _counts_as_told(self, entry: Entry) -> None:
         """A balancer that has not asked for so long counts as told, if it could have asked."""
         if self.entries.get(entry.node) is not entry or self.down or self._up_since > self._since():
@@ -149,6 +157,9 @@
             for connection in list(self.watchers):
                 self._drop(connection)
         elif not self.down:
+            if self._settings.mode == "push":
+                for entry in self.entries.values():
+                    self._sent(entry)
             for connection in list(self.watchers):
                 self._answer_watch(connection)
 
@@ -193,6 +204,8 @@
             return
         connection.after = after
         wait = min(float(query.get("wait_ms", "0")), 60_000) / 1000
+        if self._settings.mode == "push":
+            wait = 0.0  # an agent answers at once
         self.watchers[connection] = None
         if after < self.revision or wait <= 0:
             self._answer_watch(connection, at_once=True)
--- a/passpost/rehearsal/watch.py
+++ b/passpost/rehearsal/watch.py
@@ -138,16 +138,17 @@
         self.attempts += 1
         if self.sink is not None:
             self.sink(f"{now:.6f} {balancer} {txn} send {node}")
+        seen = self._seen.get(txn)
+        if seen is not None:
+            seen.attempts += 1
+            seen.story.append((now, f"{txn} attempt {seen.attempts} at {node}, written {begun:.3f}"))
         told = self._drained.get((balancer, node))
         if told is not None and begun > told + self._contract.drain_grace_ms / 1000 + SLACK_S:
             text = f"{balancer} sent {txn} to {node} {begun - told:.3f} s after it was told of its drain"
             self._break("drain", now, text, txn)
-        seen = self._seen.get(txn)
         if seen is None:
             self._break("lost", now, f"{node} got {txn}, which no client has sent lately", txn)
             return 0
-        seen.attempts += 1
-        seen.story.append((now, f"{txn} attempt {seen.attempts} at {node}, written {begun:.3f}"))
         if seen.answered is not None and begun > seen.answered + SLACK_S:
             self._break("lost", now, f"{txn} was sent to {node} after its final answer", txn)
         if seen.ran and seen.cls.effect == "unsafe":
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -19,6 +19,7 @@
 import pytest
 
 from passpost.cli import command
+from tests.loopback import config_data, member
 from tests.operator.files import GOOD, broken
 
 PATIENCE = 20.0
@@ -299,6 +300,33 @@
             assert "render.frame.path: '/stills/**', and was '/frames/**'" in log
 
 
+def test_an_operators_file_is_carried_beside_the_platforms_balancer(tmp_path: Path) -> None:
+    port, own = free_port(), free_port()
+    with upstream() as server:
+        config, path = tmp_path / "config.json", tmp_path / "f.toml"
+        data = config_data([member("s0", f"127.0.0.1:{server}")]) | {"listen": f"127.0.0.1:{own}"}
+        config.write_text(json.dumps(data))
+        source = tmp_path / "d.toml"
+        source.write_text(
+            DESCRIPTION.replace("18001", str(server)).replace(
+                "[[calls.requests]]", f'listen = "127.0.0.1:{port}"\n\n[[calls.requests]]'
+            )
+        )
+        assert command.run(["new", str(source), "-o", str(path)]) == 0
+        arguments = ("-m", "passpost", "--operator", str(path))
+        with running(path, *arguments, EDGE_CONFIG=str(config)) as process:
+            until_ready(own, process)
+            until_ready(port, process)
+            assert get(port, "/frames/1")[0] == 200
+            process.send_signal(signal.SIGTERM)
+            _, log = process.communicate(timeout=PATIENCE)
+            assert process.returncode == 0, log
+        path.write_text("version = ")
+        with running(path, *arguments, EDGE_CONFIG=str(config)) as process:
+            _, log = process.communicate(timeout=PATIENCE)
+        assert process.returncode == 2 and "no TOML" in log and "Traceback" not in log
+
+
 def test_a_second_sidecar_on_a_port_ends_with_one_line(tmp_path: Path) -> None:
     path = tmp_path / "f.toml"
     with socket.create_server(("127.0.0.1", 0)) as other:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -178,3 +178,29 @@
                 assert answer is not None and answer.status == 200
 
     run(test())
+
+
+def test_a_pushed_list_is_read_again_and_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Nobody asks for a list that is pushed: read only when asked for, it stayed as it was at the start.
+    monkeypatch.setattr(module, "POLL_S", 0.01)
+
+    async def test() -> None:
+        agent = FakeServer(answer_json(listing(2, member("a", "127.0.0.1:1"))))
+        await agent.start()
+        known = module.parse_listing(listing(1))
+        discovery = module.Discovery(module.parse_address(agent.host_port), known, pushed=True)
+        told: list[ListUpdate] = []
+        discovery.start(lambda update, addresses: told.append(update))
+        await until(lambda: any(u.members for u in told))
+        agent.reply = answer_json(listing(3, member("b", "127.0.0.1:2")))
+        await until(lambda: [m.server for m in told[-1].members] == ["b"])
+        agent.reply = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+        seen = len(agent.got)
+        await until(lambda: len(agent.got) > seen + 2)  # it goes on asking
+        agent.reply = answer_json(listing(4, member("c", "127.0.0.1:3")))
+        await until(lambda: [m.server for m in told[-1].members] == ["c"])
+        assert all(u.kind is not ListKind.FAILED for u in told)
+        discovery.stop()
+        agent.stop()
+
+    run(test())
