The sidecar writes the time left in the file's own header, and refuses two keys in one request

Cause: deadline_header was read and not written (X-Remaining went on in its place), and of two key headers the last one counted, so that a server could read the other. Both seen in a read of the whole diff; a test for each.

--- a/passpost/operator/callers.py
+++ b/passpost/operator/callers.py
@@ -31,7 +31,9 @@
         self._tenant = identity.tenant_header.lower().encode()
         self._default_tenant = identity.tenant or None
         self._deadline = identity.deadline_header.lower().encode()
-        self._single = frozenset({self._id.lower(), self._tenant, self._deadline})
+        self._deadline_name = identity.deadline_header.encode()
+        keys = {c.key_header.lower().encode() for c in application.classes if c.key_header is not None}
+        self._single = frozenset({self._id.lower(), self._tenant, self._deadline, *keys})
         self._run = f"{application.name}-{run}"
         self._count = itertools.count(1)
         self._added: Headers = [
@@ -72,7 +74,8 @@
         ]
         if self._id.lower() not in fields:
             passed_on.append((self._id, own))
-        return Call(cls.name, own, tenant, remaining, method, target, passed_on + self._added)
+        passed_on += self._added
+        return Call(cls.name, own, tenant, remaining, method, target, passed_on, self._deadline_name)
 
 
 def value_of(value: str, environment: Mapping[str, str]) -> str:
--- a/tests/operator/test_sidecar.py
+++ b/tests/operator/test_sidecar.py
@@ -61,6 +61,28 @@
     play(test)
 
 
+def test_the_time_left_is_read_and_written_in_the_files_own_header() -> None:
+    async def test(rig: Rig) -> None:
+        one, two = fleet(rig)
+        rig.carry(PLAIN.replace('tenant = "harbour"', 'tenant = "harbour"\ndeadline_header = "X-Seconds"'))
+        got = await rig.ask(RENDER, "/frames/7", X_Seconds="0.5")
+        assert got is not None and got.status == 200
+        [seen] = one.got + two.got
+        assert 0.4 < float(seen.headers["x-seconds"]) <= 0.5 and "x-remaining" not in seen.headers
+
+    play(test)
+
+
+def test_two_keys_in_one_request_are_refused() -> None:
+    async def test(rig: Rig) -> None:
+        one, two = fleet(rig)
+        rig.carry(PLAIN)
+        got = await rig.ask(RENDER, "/jobs", "POST", b"x", Idempotency_Key="a", idempotency_key="b")
+        assert got is not None and got.status == 400 and not one.got + two.got
+
+    play(test)
+
+
 def test_what_no_class_takes_is_told_why() -> None:
     async def test(rig: Rig) -> None:
         one, two = fleet(rig)
