--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-POLL_S = 0.2  # a pushed list is looked at this often: its agent is on this machine and answers at no cost
+POLL_S = 0.05  # a pushed list is looked at this often: its agent is on this machine and answers at no cost
 WATCH_MS = 10_000  # how long a watch may wait: a silent discovery is noticed this late, plus the time-out
 CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
 MAX_LIST = 4 * 1024 * 1024
--- a/passpost/rehearsal/registry.py
+++ b/passpost/rehearsal/registry.py
@@ -17,6 +17,9 @@
 from passpost.rehearsal.watch import Watch
 
 LINE_TIMEOUT_S = 2.0  # a call that would wait longer for its turn is turned down
+# What an agent learns in the moment before it goes silent, nobody that reads it now and then can know: it counts
+# as told once the agent has had it so long, and could be asked. Five times as long as the balancer's own pause.
+AGENT_S = 0.25
 AGAIN_S = 0.25  # a balancer that is cut off counts as told once it is no longer: looked at this often
 OLD_CLOSES_S = 1.5  # after a move the old address closes its open connections this late
 
@@ -106,12 +109,14 @@
         if entry.phase != "active":
             loop.call_later(self._ask_within, self._counts_as_told, entry)
         if self._settings.mode == "push" and not self.down:
-            self._sent(entry)
+            loop.call_later(AGENT_S, self._sent, entry, self._up_since)
         for connection in list(self.watchers):
             self._answer_watch(connection)
 
-    def _sent(self, entry: Entry) -> None:
+    def _sent(self, entry: Entry, up_since: float) -> None:
         """Pushed to every balancer's agent: what the agent has counts as told, asked for or not."""
+        if self.down or up_since != self._up_since:
+            return  # it went silent meanwhile; once it is back all is sent again
         for balancer in self._running:
             if self._tier_of(balancer) == entry.tier:
                 self._tell(balancer, entry)
@@ -158,8 +163,9 @@
                 self._drop(connection)
         elif not self.down:
             if self._settings.mode == "push":
+                loop = asyncio.get_running_loop()
                 for entry in self.entries.values():
-                    self._sent(entry)
+                    loop.call_later(AGENT_S, self._sent, entry, self._up_since)
             for connection in list(self.watchers):
                 self._answer_watch(connection)
 
@@ -232,6 +238,8 @@
         """An entry is written to a balancer: it counts as told once that can have reached it."""
         if balancer not in self._running or self.entries.get(entry.node) is not entry:
             return
+        if self._settings.mode == "push" and self.down:
+            return  # whoever could not read it in time hears it when the agent is back
         if entry.phase != "active" and not self.reachable(balancer, self.stage.now()):
             asyncio.get_running_loop().call_later(AGAIN_S, self._tell, balancer, entry)
             return
