The table's cells in one place; the simulated network forgets what is over

Seen in a last read of the diff: command and report each formatted a line of figures, and closed ends were kept to the end of a night, with a clean-up that nobody called. Line.cells serves both; an end is forgotten when its process lets go of it.

--- a/passpost/cli/rehearse.py
+++ b/passpost/cli/rehearse.py
@@ -17,7 +17,7 @@
 from passpost.cli.command import UnusableError
 from passpost.rehearsal import report
 from passpost.rehearsal.script import ScriptError, load
-from passpost.rehearsal.summary import Line, Summary, summarize
+from passpost.rehearsal.summary import HEADS, Summary, summarize
 from passpost.rehearsal.watch import RULES
 from passpost.rehearsal.world import Night
 
@@ -104,10 +104,10 @@
     console = Console(highlight=False, width=None if sys.stdout.isatty() else 100)
     table = Table(title=f"{figures.title} (seed {figures.seed})", title_justify="left")
     table.add_column("")
-    for head in ("requests", "served", "in time", "refused", "failed", "p50 ms", "p99 ms", "worth"):
+    for head in HEADS[1:]:
         table.add_column(head, justify="right")
     for line in (figures.whole, *figures.by_class, *figures.by_tenant):
-        table.add_row(*_cells(line))
+        table.add_row(*line.cells())
     console.print(table)
     console.print(
         f"{figures.attempts_each:.2f} attempts and {figures.tries_each:.2f} tries a request; "
@@ -122,17 +122,3 @@
         console.print(f"\n[bold red]{RULES[found.rule]}:[/] {found.text}")
         for row in found.story:
             console.print(f"  {row}", markup=False)
-
-
-def _cells(line: Line) -> tuple[str, ...]:
-    return (
-        line.name,
-        f"{line.requests:,}",
-        f"{line.served:.1%}",
-        f"{line.in_time:.1%}",
-        f"{line.refused:.1%}",
-        f"{line.failed:.1%}",
-        f"{line.p50_ms:.0f}",
-        f"{line.p99_ms:.0f}",
-        f"{line.worth:.1%}",
-    )
--- a/passpost/rehearsal/network.py
+++ b/passpost/rehearsal/network.py
@@ -139,6 +139,7 @@
         if self.closed:
             return
         self.closed = True
+        self.net.forget(self)
         if self.reset:
             return
         if reset or self.inbox:
@@ -456,6 +457,10 @@
 
     # ---- what ends and the loop ask
 
+    def forget(self, end: _End) -> None:
+        """Its process has let go of it: a long night must not grow by what is over."""
+        self._ends.get(end.process, {}).pop(end, None)
+
     def latency(self, src: str, dst: str) -> float:
         """Seconds from one machine to the other."""
         jitter = self._jitter * self._random.random()
@@ -540,12 +545,6 @@
         transport._readable()
         return transport, protocol
 
-    def forget_closed(self) -> None:
-        """Drop what both sides have let go of, so that a long night does not grow."""
-        for ends in self._ends.values():
-            for end in [e for e in ends if e.closed]:
-                del ends[end]
-
 
 class SimHost(Host):
     """`passpost.host.Host` for the processes of a night."""
--- a/passpost/rehearsal/report.py
+++ b/passpost/rehearsal/report.py
@@ -4,7 +4,7 @@
 
 from html import escape
 
-from passpost.rehearsal.summary import OUTCOMES, Line, Summary, by_second, summarize
+from passpost.rehearsal.summary import HEADS, OUTCOMES, Line, Summary, by_second, summarize
 from passpost.rehearsal.watch import RULES
 from passpost.rehearsal.world import Night
 
@@ -52,22 +52,11 @@
 
 def _table(figures: Summary) -> str:
     def row(line: Line) -> str:
-        cells = (
-            f"{line.requests:,}",
-            f"{line.served:.1%}",
-            f"{line.in_time:.1%}",
-            f"{line.refused:.1%}",
-            f"{line.failed:.1%}",
-            f"{line.p50_ms:.0f}",
-            f"{line.p99_ms:.0f}",
-            f"{line.worth:.1%}",
-        )
-        return f"<tr><td>{escape(line.name)}</td>{''.join(f'<td>{c}</td>' for c in cells)}</tr>"
-
-    heads = ("", "requests", "served", "in time", "refused", "failed", "p50 ms", "p99 ms", "worth")
+        return f"<tr>{''.join(f'<td>{escape(cell)}</td>' for cell in line.cells())}</tr>"
+
     lines = [figures.whole, *figures.by_class, *figures.by_tenant]
     return (
-        f"<table><tr>{''.join(f'<th>{h}</th>' for h in heads)}</tr>{''.join(map(row, lines))}</table>"
+        f"<table><tr>{''.join(f'<th>{h}</th>' for h in HEADS)}</tr>{''.join(map(row, lines))}</table>"
         f"<p>{figures.attempts_each:.2f} attempts and {figures.tries_each:.2f} tries for each request</p>"
     )
 
--- a/passpost/rehearsal/summary.py
+++ b/passpost/rehearsal/summary.py
@@ -10,6 +10,7 @@
 from passpost.rehearsal.watch import RULES
 from passpost.rehearsal.world import Night
 
+HEADS = ("", "requests", "served", "in time", "refused", "failed", "p50 ms", "p99 ms", "worth")
 OUTCOMES = ("in time", "late", "refused", "failed")
 
 
@@ -39,6 +40,18 @@
     p99_ms: float
     worth: float
 
+    def cells(self) -> tuple[str, ...]:
+        """As people read it, under HEADS."""
+        shares = (f"{x:.1%}" for x in (self.served, self.in_time, self.refused, self.failed))
+        return (
+            self.name,
+            f"{self.requests:,}",
+            *shares,
+            f"{self.p50_ms:.0f}",
+            f"{self.p99_ms:.0f}",
+            f"{self.worth:.1%}",
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Summary:
