--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -104,12 +104,12 @@
     lies there counts as told, so that it is looked at again and again.
     """
 
-    def __init__(self, address: Address, known: Listing, pushed: bool = False) -> None:
+    def __init__(self, address: Address, known: Listing | None, pushed: bool = False) -> None:
         self._address, self._pushed = address, pushed
         self._stopped = False
         self._silent = False  # the agent has not answered lately; said once
-        self._known = known
-        self._revision: int | None = known.revision
+        self._known = known or Listing(0, False, (), {})
+        self._revision = known.revision if known is not None else None  # None: asks for the whole list
         self._addresses: dict[str, Address] = {}
         self._tell: Callable[[ListUpdate, dict[str, Address]], None] = lambda update, addresses: None
         self._task: asyncio.Task[None] | None = None
--- a/passpost/operator/model.py
+++ b/passpost/operator/model.py
@@ -212,7 +212,7 @@
 
 
 class Drain(Part, frozen=True, kw_only=True):
-    """How this process ends, and how upstreams are let go."""
+    """How this process ends. An upstream whose drain is told gets nothing new from then on."""
 
     kill_after_s: Annotated[
         Seconds, Meta(description="SIGKILL follows SIGTERM after this, as the machine's supervisor is set.")
@@ -220,9 +220,6 @@
     serve_s: Annotated[
         Wait, Meta(description="After SIGTERM callers are served on for up to so long, and then let go.")
     ] = 2.0
-    grace_ms: Annotated[
-        Millis, Meta(description="Nothing new goes to an upstream this long after its drain was told.")
-    ] = 1_000.0
 
 
 class Health(Part, frozen=True, kw_only=True):
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -80,8 +80,9 @@
         environment: Mapping[str, str],
         host: Host,
         module: type[Balancer] = Balancer,
+        draw: Callable[[int], int] = secrets.randbits,
     ) -> None:
-        self.application, self._host, self._module = application, host, module
+        self.application, self._host, self._module, self._draw = application, host, module, draw
         self._members: dict[str, Member] = {}
         self._addresses: dict[str, Address] = {}
         self._older: list[Engine] = []  # that still have requests open
@@ -100,7 +101,7 @@
             address,
             callers // share,
             host,
-            PlainCallers(application, file, secrets.token_hex(4), environment),
+            PlainCallers(application, file, f"{draw(32):08x}", environment),
             body,
             f"{SERVER}{application.name}".encode(),
         )
@@ -108,7 +109,7 @@
     def _engine(self, application: Application) -> Engine:
         return Engine(
             settings(application),
-            secrets.randbits(64),
+            self._draw(64),
             self.upstreams,
             lambda: self.source.subscribe(),
             ANSWER_GRACE_S,
@@ -125,8 +126,11 @@
 
     def _listed(self, update: ListUpdate, addresses: dict[str, Address]) -> None:
         """News of the list, for every engine that may still send."""
+        if update.kind is ListKind.SAVED:  # of a source that begins: what the last one told stands until it tells
+            update = ListUpdate(ListKind.SAVED, (*self._members.values(), *update.members))
+            addresses = self._addresses | addresses
         if update.kind is not ListKind.FAILED:
-            if update.kind is not ListKind.CHANGES:
+            if update.kind is ListKind.WHOLE:
                 self._members.clear()
             for member in update.members:
                 self._members[member.server] = member
@@ -141,13 +145,16 @@
     ) -> Callable[[], None]:
         """Build what a changed application needs; the result takes it over, and can't fail."""
         engine = self._engine(application)
-        callers = PlainCallers(application, file, secrets.token_hex(4), environment)
+        callers = PlainCallers(application, file, f"{self._draw(32):08x}", environment)
         source = None
         if application.upstreams != self.application.upstreams:
             source = sources.make(application.upstreams, self._host)
 
         def take_over() -> None:
             self.application = application
+            if source is not None:  # before the new engine, which asks its source at once
+                self.source.stop()
+                self.source = source
             if self._members:
                 members = tuple(self._members.values())
                 engine.listed(ListUpdate(ListKind.SAVED, members), self._addresses)
@@ -155,9 +162,7 @@
             self.engine = self.server.engine = engine
             self.server.check = callers
             if source is not None:
-                self.source.stop()
-                self.source = source  # its first list takes the place of the last one
-                source.start(self._listed)
+                source.start(self._listed)  # its first list takes the place of the last one
 
         return take_over
 
@@ -170,7 +175,7 @@
 
 
 class Sidecar:
-    """All applications of a file, in one process."""
+    """All applications of a file, in one process. `draw` gives random bits, which a rehearsal gives by a seed."""
 
     def __init__(
         self,
@@ -178,13 +183,15 @@
         environment: Mapping[str, str],
         host: Host = HOST,
         module: type[Balancer] = Balancer,
+        draw: Callable[[int], int] = secrets.randbits,
     ) -> None:
         self.file, self._environment, self._host, self._module = file, environment, host, module
+        self._draw = draw
         self.carried: dict[str, Carried] = {}
         self._leaving: set[asyncio.Task[None]] = set()
         try:
             for application in file.applications:
-                self.carried[application.name] = Carried(application, file, environment, host, module)
+                self.carried[application.name] = Carried(application, file, environment, host, module, draw)
         except Exception:
             for carried in self.carried.values():
                 carried.server.close()
@@ -210,7 +217,9 @@
             for name, application in wanted.items():
                 known = self.carried.get(name)
                 if known is None:
-                    added[name] = Carried(application, file, self._environment, self._host, self._module)
+                    added[name] = Carried(
+                        application, file, self._environment, self._host, self._module, self._draw
+                    )
                 elif application != known.application or file.health != self.file.health:
                     swaps.append(known.prepare(application, file, self._environment))
         except Exception:
--- a/passpost/operator/sources.py
+++ b/passpost/operator/sources.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from passpost.discovery import Discovery, Listing
+from passpost.discovery import Discovery
 from passpost.host import HOST, Address, Host
 from passpost.operator import model
 from passpost.operator.checks import split
@@ -187,4 +187,4 @@
         case model.Discovered():
             address = split(source.address)
             assert address is not None  # checked
-            return Discovery(address, Listing(0, False, (), {}), source.mode == "push")
+            return Discovery(address, None, source.mode == "push")
--- a/passpost/rehearsal/clients.py
+++ b/passpost/rehearsal/clients.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field
 
 from passpost.host import Address
-from passpost.rehearsal.http import GRACE_S, Pool, Result, write_request
+from passpost.rehearsal.http import GRACE_S, Pool, Result
 from passpost.rehearsal.model import Class, Script, Tenant
 from passpost.rehearsal.nodes import tell
+from passpost.rehearsal.speech import Speech
 from passpost.rehearsal.stage import Stage
 from passpost.rehearsal.watch import Watch
 
@@ -37,8 +38,8 @@
 class Front:
     """Deals out connections among the balancers that it takes for alive and ready."""
 
-    def __init__(self, stage: Stage, notice_s: float) -> None:
-        self._stage, self._notice = stage, notice_s
+    def __init__(self, stage: Stage, notice_s: float, ready: str) -> None:
+        self._stage, self._notice, self._ready = stage, notice_s, ready
         self.addresses: dict[str, Address] = {}
         self._in: dict[str, None] = {}
         self._turn = 0
@@ -54,7 +55,7 @@
     def _poll(self, balancer: str, start: int) -> None:
         if self._starts[balancer] != start:
             return
-        ask = b"GET /health/ready HTTP/1.1\r\nHost: front\r\n\r\n"
+        ask = f"GET {self._ready} HTTP/1.1\r\nHost: front\r\n\r\n".encode()
 
         def done(result: Result) -> None:
             if self._starts[balancer] != start:
@@ -99,10 +100,17 @@
     """All clients of a night."""
 
     def __init__(
-        self, stage: Stage, watch: Watch, script: Script, seed: int, excuse: Callable[[str, float], str]
+        self,
+        stage: Stage,
+        watch: Watch,
+        script: Script,
+        seed: int,
+        excuse: Callable[[str, float], str],
+        speech: Speech,
     ) -> None:
         self._stage, self._watch, self._script, self._excuse = stage, watch, script, excuse
-        self.front = Front(stage, script.clients.notice_s)
+        self._speech = speech
+        self.front = Front(stage, script.clients.notice_s, speech.ready)
         self._pools = [Pool(stage) for _ in range(script.clients.processes)]
         self._random = random.Random(f"clients {seed}")
         # Arrivals are drawn apart from all else: what goes wrong must not change what is asked.
@@ -183,7 +191,7 @@
             self._watch.asked(now, txn, cls, balancer, due)
             tenant = job.tenant if self._script.tenants else ""
             topic = f"m{job.number % 997}"
-            return write_request(cls.name, cls.effect, txn, max(due - now, 0.001), tenant, job.key, topic)
+            return self._speech.write(cls, txn, max(due - now, 0.001), tenant, job.key, topic)
 
         def done(result: Result) -> None:
             if result.how == "crossed" and not fresh:  # the same request once more, on a new connection
--- a/passpost/rehearsal/live.py
+++ b/passpost/rehearsal/live.py
@@ -20,14 +20,16 @@
 from collections.abc import Callable
 from fnmatch import fnmatchcase
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import uvloop
 
 from passpost.host import HOST, Address
-from passpost.rehearsal import model
+from passpost.operator.model import File
+from passpost.operator.writer import render
+from passpost.rehearsal import carried, model
 from passpost.rehearsal.model import Script
-from passpost.rehearsal.stage import Running, Stage
+from passpost.rehearsal.stage import Config, Running, Stage
 from passpost.rehearsal.world import Night, World
 
 T = TypeVar("T")
@@ -68,24 +70,29 @@
 
 class _Process(Running):
     def __init__(
-        self, stage: LiveStage, name: str, config: dict[str, Any], ended: Callable[[int | None], None]
+        self, stage: LiveStage, name: str, config: Config, ended: Callable[[int | None], None]
     ) -> None:
         self._ended, self._stage = ended, stage
-        self._path = stage.folder / f"{name}.json"
+        if isinstance(config, File):
+            self._path = stage.folder / f"{name}.toml"
+            command, more = ["passpost.cli", "run", str(self._path)], dict(carried.environment(config))
+        else:
+            self._path = stage.folder / f"{name}.json"
+            command, more = ["passpost"], {"EDGE_CONFIG": str(self._path)}
         self._write(config)
         with open(stage.folder / f"{name}.log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "passpost"],
-                env=os.environ | {"EDGE_CONFIG": str(self._path)},
+                [sys.executable, "-m", *command],
+                env=os.environ | more,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
             )
         self._look()
 
-    def _write(self, config: dict[str, Any]) -> None:
+    def _write(self, config: Config) -> None:
         whole = self._path.with_suffix(".new")
-        whole.write_text(json.dumps(config), encoding="utf-8")
+        whole.write_text(render(config) if isinstance(config, File) else json.dumps(config), encoding="utf-8")
         whole.replace(self._path)
 
     def _look(self) -> None:
@@ -102,7 +109,7 @@
         if self.alive:
             self.process.send_signal(signal.SIGTERM)
 
-    def reload(self, config: dict[str, Any]) -> None:
+    def reload(self, config: Config) -> None:
         if self.alive:
             self._write(config)
             self.process.send_signal(signal.SIGHUP)
@@ -132,7 +139,7 @@
     def run_as(self, machine: str, call: Callable[[], T]) -> T:
         return call()
 
-    def launch(self, name: str, config: dict[str, Any], ended: Callable[[int | None], None]) -> Running:
+    def launch(self, name: str, config: Config, ended: Callable[[int | None], None]) -> Running:
         running = self.running[name] = _Process(self, name, config, ended)
         return running
 
--- a/passpost/rehearsal/model.py
+++ b/passpost/rehearsal/model.py
@@ -57,8 +57,15 @@
     sockets: Annotated[int, Meta(ge=64, le=1_000_000)] = 1_024
 
 
+class Sidecar(_Part, frozen=True, kw_only=True):
+    """The first tier's balancers are sidecars that run an operator's file."""
+
+    file: Annotated[str, Meta(min_length=1, max_length=4_000)]  # beside the script, where it is no whole path
+    application: Name  # the one that is called
+
+
 class Class(_Part, frozen=True, kw_only=True):
-    """One class of requests."""
+    """One class of requests. With a sidecar its file says what it waits for and what may be repeated."""
 
     name: Name
     share: Annotated[float, Meta(gt=0)] = 1.0  # of all requests, beside the other classes' shares
@@ -259,6 +266,7 @@
     discovery: Discovery = Discovery()
     contract: Contract = Contract()
     clients: Clients = Clients()
+    sidecar: Sidecar | None = None
     classes: Annotated[tuple[Class, ...], Meta(min_length=1)]
     tenants: tuple[Tenant, ...] = ()
     tiers: Annotated[tuple[Tier, ...], Meta(min_length=1, max_length=3)]
--- a/passpost/rehearsal/nodes.py
+++ b/passpost/rehearsal/nodes.py
@@ -12,6 +12,7 @@
 from passpost.rehearsal.http import Pool, Request, RequestConnection, Result, write_request
 from passpost.rehearsal.machine import Job, Machine
 from passpost.rehearsal.model import Class, Contract, Kind, Tier
+from passpost.rehearsal.speech import Asked, Speech
 from passpost.rehearsal.stage import Stage, listen
 from passpost.rehearsal.watch import Watch
 
@@ -44,10 +45,10 @@
 class _Work:
     """One request inside the node."""
 
-    def __init__(self, connection: _Connection, request: Request, cls: Class, number: int) -> None:
+    def __init__(self, connection: _Connection, asked: Asked, cls: Class, number: int) -> None:
         self.connection: _Connection | None = connection
-        self.request, self.cls, self.number = request, cls, number
-        self.txn = request.headers.get("x-txn", "")
+        self.asked, self.cls, self.number = asked, cls, number
+        self.txn = asked.txn
         self.attempt = 0
         self.due = math.inf
         self.calls_left, self.work_after = 0, 0.0
@@ -117,7 +118,9 @@
         effects: Effects,
         seed: int,
         cold: bool,
+        speech: Speech,
     ) -> None:
+        self._speech = speech
         self.stage, self.watch, self.name, self.tier, self.kind = stage, watch, name, tier, kind
         self._contract, self._classes, self._effects, self._seed = contract, classes, effects, seed
         self.started = stage.now() if cold else -math.inf
@@ -204,28 +207,30 @@
     def take(self, connection: _Connection, request: Request) -> None:
         """A request is whole."""
         now = self.stage.now()
-        cls = self._classes.get(request.path.lstrip("/").split("/")[0])
-        txn = request.headers.get("x-txn", "")
+        asked = self._speech.read(request)
+        cls = self._classes.get(asked.cls) if asked is not None else None
         if request.path in ("/health/live", "/stats"):
             connection.reply(200, b"{}")
             return
-        if cls is None or not txn:
-            connection.reply(400 if txn else 404, close=True)
+        if asked is None or cls is None:
+            connection.reply(404, close=True)
             return
+        txn = asked.txn
         self._advance()
         self._count += 1
-        work = _Work(connection, request, cls, self._count)
+        work = _Work(connection, asked, cls, self._count)
         connection.work = work
         work.attempt = self.watch.attempt(
             request.begun, request.written, now, txn, self.name, connection.balancer
         )
-        work.due = now + float(request.headers.get("x-remaining", cls.deadline_ms / 1000))
+        work.due = now + (cls.deadline_ms / 1000 if asked.remaining is None else asked.remaining)
         if connection.full:
             self._turn_away(work)
             return
         amount = self._draw(cls, txn) * self.tier.part
-        key = request.headers.get("idempotency-key", "")
-        if cls.effect == "keyed" and self._effects.is_repeat(self.tier.name, key, now, cls.window_ms / 1000):
+        if cls.effect == "keyed" and self._effects.is_repeat(
+            self.tier.name, asked.key, now, cls.window_ms / 1000
+        ):
             amount *= REPEAT_PART
         low, high = self.tier.calls if self.next_tier is not None else (0, 0)
         work.calls_left = self._chance.randint(low, high)
@@ -288,8 +293,7 @@
         self._calls += 1
         txn = f"{work.txn}.{self.name}.{self._calls}"
         balancer, address = self.next_tier
-        key = work.request.headers.get("idempotency-key", "")
-        tenant = work.request.headers.get("x-org", "")
+        key, tenant = work.asked.key, work.asked.tenant
 
         def data() -> bytes:
             left = max(work.due - self.stage.now(), 0.0)
--- a/passpost/rehearsal/script.py
+++ b/passpost/rehearsal/script.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import os
 import re
 import tomllib
 from fnmatch import fnmatchcase
@@ -10,7 +11,7 @@
 
 import msgspec
 
-from passpost.rehearsal import model
+from passpost.rehearsal import carried, model
 from passpost.rehearsal.model import Script
 
 MAX_BYTES = 1_000_000  # no night needs more; a larger file is some other file
@@ -50,6 +51,15 @@
         raise ScriptError(f"{path}: {_explain(str(error))}") from None
     for key, reason in _contradictions(script):
         raise ScriptError(f"{path}: {key}: {reason}")
+    if script.sidecar is not None:
+        file = os.path.abspath(os.path.join(os.path.dirname(path), script.sidecar.file))
+        script = msgspec.structs.replace(
+            script, sidecar=model.Sidecar(file=file, application=script.sidecar.application)
+        )
+        try:
+            carried.merged(script, carried.read(file))
+        except carried.MismatchError as error:
+            raise ScriptError(f"{path}: {error}") from None
     return script
 
 
--- a/passpost/rehearsal/stage.py
+++ b/passpost/rehearsal/stage.py
@@ -12,9 +12,12 @@
 from typing import Any, TypeVar
 
 from passpost.host import Address, Host
+from passpost.operator.model import File
 
 T = TypeVar("T")
 
+Config = dict[str, Any] | File  # a balancer of the platform's, or a sidecar
+
 
 class Running(ABC):
     """A balancer that has been started. What `launch` is given as `ended` hears its exit status once."""
@@ -26,7 +29,7 @@
         """SIGTERM."""
 
     @abstractmethod
-    def reload(self, config: dict[str, Any]) -> None:
+    def reload(self, config: Config) -> None:
         """Replace its file and send SIGHUP."""
 
     @abstractmethod
@@ -49,7 +52,7 @@
         """Call something on a machine; its timers and connections belong to it."""
 
     @abstractmethod
-    def launch(self, name: str, config: dict[str, Any], ended: Callable[[int | None], None]) -> Running:
+    def launch(self, name: str, config: Config, ended: Callable[[int | None], None]) -> Running:
         """Start a balancer on a machine of this name."""
 
     @abstractmethod
--- a/passpost/rehearsal/virtual.py
+++ b/passpost/rehearsal/virtual.py
@@ -10,15 +10,18 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from passpost import config as platform
 from passpost.host import Address
 from passpost.node import Node
+from passpost.operator.model import File
+from passpost.operator.sidecar import Sidecar
+from passpost.rehearsal import carried
 from passpost.rehearsal.loop import Process, SimLoop, StuckError
 from passpost.rehearsal.model import Script
 from passpost.rehearsal.network import Network, SimHost, SimTransport
-from passpost.rehearsal.stage import Running, Stage
+from passpost.rehearsal.stage import Config, Running, Stage
 from passpost.rehearsal.world import Night, World
 from umberworks import interface as face
 from umberworks.rules import Balancer
@@ -52,7 +55,7 @@
 class _Running(Running):
     def __init__(self, stage: VirtualStage, process: Process, ended: Callable[[int | None], None]) -> None:
         self._stage, self._process, self._ended = stage, process, ended
-        self.node: Node | None = None
+        self.node: Node | Sidecar | None = None
 
     def terminate(self) -> None:
         if self.alive and self.node is not None:
@@ -69,10 +72,19 @@
 
             self._stage.loop.run_as(self._process, lambda: self._stage.loop.create_task(stop()))
 
-    def reload(self, config: dict[str, Any]) -> None:
-        if self.alive and self.node is not None:
-            node = self.node
-            self._stage.loop.run_as(self._process, lambda: node.reload(platform.read(config)))
+    def reload(self, config: Config) -> None:
+        if not self.alive:
+            return
+
+        def take() -> None:
+            if isinstance(self.node, Sidecar):
+                assert isinstance(config, File)
+                self.node.reload(config)
+            elif self.node is not None:
+                assert isinstance(config, dict)
+                self.node.reload(platform.read(config))
+
+        self._stage.loop.run_as(self._process, take)
 
     def kill(self) -> None:
         if self.alive:
@@ -98,7 +110,7 @@
         wires = script.network
         self.net = Network(self.loop, seed, wires.latency_ms / 1000, wires.jitter_ms / 1000, wires.split)
         self.host = SimHost(self.net, self.loop.world)
-        self._sink, self._module = sink, module
+        self._seed, self._sink, self._module = seed, sink, module
         self._processes: dict[str, Process] = {}
         self._ports = 7_000
         self.faults: list[str] = []
@@ -113,7 +125,7 @@
             self.loop.processes.append(process)
         return self.loop.run_as(process, call)
 
-    def launch(self, name: str, config: dict[str, Any], ended: Callable[[int | None], None]) -> Running:
+    def launch(self, name: str, config: Config, ended: Callable[[int | None], None]) -> Running:
         process = self._processes[name] = Process(name)
         self.loop.processes.append(process)
         running = _Running(self, process, ended)
@@ -121,9 +133,14 @@
         if self._sink is not None:
             module = recorded(module, name, self.now, self._sink)
 
+        host, seed = SimHost(self.net, process), f"{self._seed} {name} {self.now()}"
+
         def start() -> None:
             try:
-                running.node = Node(platform.read(config), SimHost(self.net, process), module)
+                if isinstance(config, File):
+                    running.node = carried.start(config, seed, host, module)
+                else:
+                    running.node = Node(platform.read(config), host, module)
             except Exception as error:
                 self.faults.append(f"{name} did not start: {error!r}")
                 running._over(1)
@@ -196,11 +213,12 @@
     sink: Sink | None = None,
     progress: Callable[[float], None] = lambda share: None,
     module: type[Balancer] = Balancer,
+    file: File | None = None,
 ) -> Night:
-    """One whole night in simulated time."""
+    """One whole night in simulated time. `file` takes the place of the operator's file that the script names."""
     begun = time.perf_counter()
     stage = VirtualStage(script, seed, sink, module)
-    world = World(stage, script, seed, progress)
+    world = World(stage, script, seed, progress, file)
     log, handler = logging.getLogger("passpost"), _Faults(stage)
     before = log.propagate
     log.addHandler(handler)
--- a/passpost/rehearsal/world.py
+++ b/passpost/rehearsal/world.py
@@ -10,13 +10,17 @@
 from fnmatch import fnmatchcase
 from typing import Any
 
+import msgspec
+
 from passpost.host import Address
-from passpost.rehearsal import model
+from passpost.operator.model import Discovered, File
+from passpost.rehearsal import carried, model
 from passpost.rehearsal.clients import Clients, Job
 from passpost.rehearsal.model import Kind, Script, Tier
 from passpost.rehearsal.nodes import Effects, Node
 from passpost.rehearsal.registry import Entry, Registry
-from passpost.rehearsal.stage import Running, Stage
+from passpost.rehearsal.speech import Speech
+from passpost.rehearsal.stage import Config, Running, Stage
 from passpost.rehearsal.watch import Break, Watch
 
 WARM_UP_S = 20.0  # balancers that are not ready by then never will be
@@ -72,7 +76,19 @@
 class World:
     """Builds the night and plays it."""
 
-    def __init__(self, stage: Stage, script: Script, seed: int, progress: Callable[[float], None]) -> None:
+    def __init__(
+        self,
+        stage: Stage,
+        script: Script,
+        seed: int,
+        progress: Callable[[float], None],
+        file: File | None = None,
+    ) -> None:
+        speech = Speech()
+        if script.sidecar is not None:
+            file = file or carried.read(script.sidecar.file)
+            script, speech = carried.merged(script, file), carried.speech(script, file)
+        self._file, self._speech = file, speech
         self.stage, self.script, self.seed, self._progress = stage, script, seed, progress
         self.watch = Watch(script.contract)
         self.night = Night(script, seed)
@@ -84,7 +100,7 @@
         self._all_places: list[_Place] = []
         self._balancers: dict[str, Running] = {}
         self._addresses: dict[str, Address] = {}
-        self._configs: dict[str, dict[str, Any]] = {}
+        self._configs: dict[str, Config] = {}
         self._tier_of_balancer: dict[str, int] = {}
         self._downs: list[tuple[str, float, float, str]] = []  # excuses: balancer, from, until, why
         self._over = False
@@ -98,7 +114,7 @@
             lambda balancer: script.tiers[self._tier_of_balancer[balancer]].name,
         )
         self.registry.reachable = lambda balancer, since: not self._excuse(balancer, since)
-        self.clients = Clients(stage, self.watch, script, seed, self._excuse)
+        self.clients = Clients(stage, self.watch, script, seed, self._excuse, speech)
 
     # ---- building
 
@@ -187,6 +203,7 @@
                 self._effects,
                 self.seed,
                 cold,
+                self._speech if place.tier is self.script.tiers[0] else Speech(),
             ),
         )
         node.excuse = self._excuse  # type: ignore[method-assign]
@@ -215,19 +232,24 @@
     def _launch(self, name: str) -> None:
         if name not in self._addresses:
             self._addresses[name] = self.stage.free_address()
-        host, port = self._addresses[name]
         listed = self.stage.run_as("discovery", lambda: self.registry.serve(name))
-        config = {
+        known = self.registry.balancer_started(name)
+        self._configs[name] = config = self._config(name, self._addresses[name], listed, known)
+        self._balancers[name] = self.stage.launch(name, config, lambda status: self._ended(name, status))
+
+    def _config(self, name: str, listen: Address, listed: Address, known: dict[str, Any]) -> Config:
+        tier = self._tier_of_balancer[name]
+        if self._file is not None and tier == 0:
+            return carried.placed(self._file, self.script, listen, listed)
+        return {
             "name": name,
-            "listen": f"{host}:{port}",
+            "listen": f"{listen[0]}:{listen[1]}",
             "discovery": f"{listed[0]}:{listed[1]}",
             "seed": f"{self._random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.script.contract.sockets},
-            "known": self.registry.balancer_started(name),
-            "settings": self._settings(self._tier_of_balancer[name]),
+            "known": known,
+            "settings": self._settings(tier),
         }
-        self._configs[name] = config
-        self._balancers[name] = self.stage.launch(name, config, lambda status: self._ended(name, status))
 
     def _settings(self, tier: int) -> dict[str, Any]:
         contract, discovery = self.script.contract, self.script.discovery
@@ -363,11 +385,13 @@
         if name in self.clients.front.addresses:
             self.stage.run_as("clients", lambda: self.clients.front.stopping(name))
         running.terminate()
-        longest = max(c.deadline_ms for c in self.script.classes) / 1000
+        bound = max(c.deadline_ms for c in self.script.classes) / 1000 + KILL_AFTER_S
+        if isinstance(self._configs[name], File) and self._file is not None:
+            bound = self._file.drain.kill_after_s
         begun = self.stage.now()
 
         def look() -> None:
-            if running.alive and self.stage.now() < begun + longest + KILL_AFTER_S:
+            if running.alive and self.stage.now() < begun + bound:
                 self._after(0.05, look)
                 return
             if running.alive:
@@ -385,7 +409,16 @@
             return
         self._say(f"{name}: discovery moves, SIGHUP")
         host, port = self.stage.run_as("discovery", lambda: self.registry.serve(name))
-        config = self._configs[name] = self._configs[name] | {"discovery": f"{host}:{port}"}
+        config = self._configs[name]
+        if isinstance(config, File):
+            application = config.applications[0]
+            assert isinstance(application.upstreams, Discovered)
+            moved = msgspec.structs.replace(application.upstreams, address=f"{host}:{port}")
+            application = msgspec.structs.replace(application, upstreams=moved)
+            config = msgspec.structs.replace(config, applications=(application,))
+        else:
+            config = config | {"discovery": f"{host}:{port}"}
+        self._configs[name] = config
         running.reload(config)
 
     def _chosen(self, event: model.NodeFault) -> list[str]:
