--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -126,7 +126,7 @@
 
     def _listed(self, update: ListUpdate, addresses: dict[str, Address]) -> None:
         """News of the list, for every engine that may still send."""
-        if update.kind is ListKind.SAVED:  # of a source that begins: what the last one told stands until it tells
+        if update.kind is ListKind.SAVED:  # a source begins: what the last one told stands until it tells
             update = ListUpdate(ListKind.SAVED, (*self._members.values(), *update.members))
             addresses = self._addresses | addresses
         if update.kind is not ListKind.FAILED:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -208,6 +208,12 @@
     assert [a.server for a in again] in ([], [first])
 
 
+def test_servers_that_need_no_warming_serve_though_their_clock_is_ahead() -> None:
+    desk = Desk(1, cold_ms=0)
+    desk.show(Member("s0", up_since_ms=desk.now + 5_000_000))
+    assert [a.server for a in sent(desk.ask()[1])] == ["s0"]
+
+
 # ---- drains, the list ---------------------------------------------------------------------------
 
 
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -406,11 +406,11 @@
 
     def _warmth(self, server: _Server, now: float) -> float:
         """The share of its capacity that a server has at the least, by its age."""
-        age = now - server.member.up_since_ms
+        age = max(now - server.member.up_since_ms, 0.0)  # by clocks that disagree it may start yet
         if server.member.up_since_ms <= 0 or age >= self._settings.cold_ms:
             return 1.0
         start = self._settings.cold_from
-        return start + (1 - start) * max(age, 0.0) / self._settings.cold_ms
+        return start + (1 - start) * age / self._settings.cold_ms
 
     def _cold_room(self, server: _Server, now: float) -> bool:
         """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
