--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -18,7 +18,7 @@
 from umberworks.servers import MEMORY_MS, Draws, Fleet, Pick, Server
 from umberworks.shares import Shares
 
-FEW = 32  # of up to so many servers a draw walks over all, which takes less time than trials
+FEW = 16  # of up to so many servers a pick walks over all, which takes as long as trials
 WALK = 512  # servers that are looked at where a walk over all would hold up every request
 LEAST_KEPT = 16  # servers that a balancer keeps to at the least: of fewer, a few failing ones weigh too much
 CALLS_EACH = 4.0  # calls in memory for each server kept to beyond these; with fewer our view is a sliver
