--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -261,19 +261,19 @@
         self.rate.append(requests / took)
 
 
-def start(arguments: list[str], core: int, **environment: str) -> subprocess.Popen[str]:
+def start(arguments: list[str], cores: set[int], **environment: str) -> subprocess.Popen[str]:
     return subprocess.Popen(
         arguments,
         stdout=subprocess.PIPE,
         stderr=subprocess.DEVNULL,
         text=True,
         env=os.environ | environment,
-        preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+        preexec_fn=lambda: os.sched_setaffinity(0, cores),
     )
 
 
 def role(name: str, core: int, *arguments: str) -> tuple[subprocess.Popen[str], Any]:
-    process = start([sys.executable, __file__, "--role", name, *arguments], core)
+    process = start([sys.executable, __file__, "--role", name, *arguments], {core})
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())
 
@@ -299,7 +299,7 @@
     }  # fmt: skip
     path = Path(folder) / f"size-{size}.json"
     path.write_text(json.dumps(config))
-    return start([sys.executable, "-m", "passpost"], PROXY_CORE, EDGE_CONFIG=str(path)), port
+    return start([sys.executable, "-m", "passpost"], {PROXY_CORE}, EDGE_CONFIG=str(path)), port
 
 
 async def until_open(port: int) -> None:
@@ -360,6 +360,80 @@
                 process.wait()
 
 
+SIDECAR = """\
+version = 1
+[limits]
+descriptors = 8000
+memory_mb = 1024
+[[applications]]
+name = "size"
+listen = "127.0.0.1:{port}"
+upstreams = {{ kind = "static", addresses = [{addresses}] }}
+[[applications.classes]]
+name = "read"
+path = "/read"
+deadline_ms = 5000
+"""
+
+
+async def measure_workers(options: argparse.Namespace) -> list[dict[str, Any]]:
+    """Requests a second of `passpost run --workers N`, each worker with a core."""
+    import socket
+
+    counts = [int(n) for n in options.workers.split(",")]
+    os.sched_setaffinity(0, {CLIENT_CORE})
+    rates: dict[int, list[float]] = {n: [] for n in counts}
+    with tempfile.TemporaryDirectory(prefix="passpost-size-") as folder:
+        upstream, ports = role("upstream", UPSTREAM_CORE)
+        try:
+            for _ in range(options.turns):
+                for count in counts:
+                    with socket.create_server(("127.0.0.1", 0)) as held:
+                        port = held.getsockname()[1]
+                    addresses = ", ".join(f'"127.0.0.1:{p}"' for p in ports)
+                    path = Path(folder) / f"workers-{count}.toml"
+                    path.write_text(SIDECAR.format(port=port, addresses=addresses))
+                    arguments = [
+                        sys.executable,
+                        "-m",
+                        "passpost.cli",
+                        "run",
+                        str(path),
+                        "--workers",
+                        str(count),
+                    ]
+                    process = start(arguments, set(range(PROXY_CORE, PROXY_CORE + count)))
+                    try:
+                        await until_open(port)
+                        await asyncio.sleep(
+                            1.0
+                        )  # until all workers accept: they take connections as they come
+                        load = Load(options.connections)
+                        await load.connect(port)
+                        await asyncio.wait_for(load.run(options.warm_up), PATIENCE_S)
+                        begun = time.perf_counter()
+                        await asyncio.wait_for(load.run(options.requests * count), PATIENCE_S)
+                        rates[count].append(options.requests * count / (time.perf_counter() - begun))
+                        if load.bad:
+                            raise SystemExit(f"{count} workers: {load.bad} answers were not 200")
+                        load.close()
+                    finally:
+                        process.terminate()
+                        process.wait()
+        finally:
+            upstream.kill()
+            upstream.wait()
+    base = statistics.median(rates[counts[0]])
+    return [
+        {
+            "workers": n,
+            "requests_per_s": round(statistics.median(r)),
+            "times": round(statistics.median(r) / base, 2),
+        }
+        for n, r in rates.items()
+    ]
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
@@ -370,6 +444,9 @@
     parser.add_argument("--warm-up", type=int, default=10_000)
     parser.add_argument("--turns", type=int, default=5)
     parser.add_argument("--json", metavar="FILE", help="write the figures there too")
+    parser.add_argument(
+        "--workers", metavar="1,2,4", help="measure requests a second of so many workers instead"
+    )
     parser.add_argument("--role", help=argparse.SUPPRESS)
     parser.add_argument("ports", nargs="?", help=argparse.SUPPRESS)
     options = parser.parse_args()
@@ -379,6 +456,13 @@
         uvloop.run(serve_relay(json.loads(options.ports)))
     elif options.role == "aiohttp":
         uvloop.run(serve_aiohttp(json.loads(options.ports)))
+    elif options.workers:
+        rows = uvloop.run(measure_workers(options))
+        print(f"{'workers':>7} {'req/s':>8} {'times':>6}")
+        for r in rows:
+            print(f"{r['workers']:>7} {r['requests_per_s']:>8,} {r['times']:>6}")
+        if options.json:
+            Path(options.json).write_text(json.dumps(rows, indent=2))
     else:
         rows = uvloop.run(measure(options))
         print(
--- a/passpost/cli/run.py
+++ b/passpost/cli/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 
 import click
@@ -17,16 +18,30 @@
 
 @click.command(name="run")
 @click.argument("file")
-def command(file: str) -> int:
+@click.option(
+    "--workers",
+    type=click.IntRange(1, 256),
+    default=1,
+    show_default=True,
+    help="So many processes share the listeners, limits and shares, for machines with as many cores.",
+)
+def command(file: str, workers: int) -> int:
     """Serve the applications of an operator's FILE until SIGTERM, which answers what was taken first.
 
     SIGHUP reads FILE again: what can change at once does, the rest is logged as waiting for a restart, and a
     file with a mistake changes nothing.
 
+    With several workers one that ends unasked is started again, SIGTERM drains them one after the other as far as
+    `drain.kill_after_s` allows, and SIGHUP renews them in turn where a change needs a restart.
+
     Exit status: 0 ended as told, 1 failed (a port is taken), 2 a file that can't be used.
     """
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
+        if workers > 1:
+            from passpost.workers.supervisor import Supervisor
+
+            return asyncio.run(Supervisor(file, workers).run())
         uvloop.run(serve(file))
     except UnreadableError as error:
         raise UnusableError(str(error)) from None
@@ -52,7 +67,15 @@
     loop.add_signal_handler(signal.SIGHUP, reload)  # first of all: unhandled, it ends the process
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    running.append(sidecar.start(path))
+    if "PASSPOST_WORKERS" in os.environ:
+        from passpost.workers.supervisor import Worker, divided
+
+        worker = Worker(os.environ)
+        worker.follow_parent(stop)
+        running.append(sidecar.start(path, worker.host, lambda file: divided(file, worker.count)))
+        worker.is_ready()
+    else:
+        running.append(sidecar.start(path))
     await stop.wait()
     logging.getLogger("passpost").info("stopping: finishing what was taken")
     await running[0].stop()
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -187,6 +187,7 @@
     ) -> None:
         self.file, self._environment, self._host, self._module = file, environment, host, module
         self._draw = draw
+        self.part: Callable[[File], File] = lambda file: file
         self.carried: dict[str, Carried] = {}
         self._leaving: set[asyncio.Task[None]] = set()
         try:
@@ -267,11 +268,15 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
-def start(path: str) -> Sidecar:
-    """A sidecar by the file at `path`, serving; raises UnreadableError, UnusableError, ValueError or OSError."""
-    file = read(path)
+def start(path: str, host: Host = HOST, part: Callable[[File], File] = lambda file: file) -> Sidecar:
+    """A sidecar by the file at `path`, serving; raises UnreadableError, UnusableError, ValueError or OSError.
+
+    `part` gives what this process has of a file, now and when it is read again.
+    """
+    file = part(read(path))
     raise_descriptors(file.limits.descriptors)
-    sidecar = Sidecar(file, os.environ)
+    sidecar = Sidecar(file, os.environ, host)
+    sidecar.part = part
     sidecar.start()
     for application in file.applications:
         log.info("%s serves %s on %s", file.name, application.name, application.listen)
@@ -281,7 +286,7 @@
 def reload(sidecar: Sidecar, path: str) -> None:
     """Read the file again and take over what can be; a file that can't be used changes nothing."""
     try:
-        changes = sidecar.reload(read(path))
+        changes = sidecar.reload(sidecar.part(read(path)))
     except UnusableError as error:
         for problem in error.problems:
             log.error("%s:%d: %s: %s", path, problem.line, problem.key, problem.text)
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -25,7 +25,6 @@
 Check = Callable[[bytes, bytes, str, Headers], Call | None]
 
 BACKLOG = 1024
-ACCEPT_AT_ONCE = 64  # so many new connections, and then the others have their turn
 IDLE_S = 75.0  # a connection that has been of use is closed after so long without a request
 CROWDED_IDLE_S = 2.0  # the same while callers are many: callers may count on so long
 KEEP_SHARE = 0.5  # callers are many past this share of the limit; then each answer closes its connection
@@ -389,7 +388,7 @@
         self.monotonic = host.monotonic
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
-        self._max_open = max_open
+        self._max_open, self._at_once = max_open, host.accept_at_once
         self._connections: dict[_Connection, None] = {}  # in order of coming: a set's would be chance
         self.open_ids: set[bytes] = set()
         self._accepting = False
@@ -480,7 +479,7 @@
 
         At the limit the connection that is worth least makes room; if all are busy, the queue waits.
         """
-        for _ in range(ACCEPT_AT_ONCE):
+        for _ in range(Host.accept_at_once if self.draining else self._at_once):
             full = len(self._connections) >= self._max_open
             spare = self._spare() if full else None
             if full and spare is None:
--- /dev/null
+++ b/passpost/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Several worker processes for one operator's file: `passpost run FILE --workers N`."""
--- /dev/null
+++ b/tests/workers/test_run.py
@@ -0,0 +1,159 @@
+"""`passpost run FILE --workers N` with real processes on loopback."""
+
+from __future__ import annotations
+
+import os
+import re
+import signal
+import subprocess
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from threading import Thread
+
+import pytest
+
+from passpost.operator.model import File
+from passpost.operator.reader import parse
+from passpost.workers.supervisor import divided
+from tests.cli.test_clients import serving
+from tests.cli.test_operator import PATIENCE, free_port, get, running, until_ready
+from tests.operator.files import GOOD
+
+TEXT = """\
+version = 1
+[limits]
+descriptors = 512
+[drain]
+serve_s = 0.2
+[[applications]]
+name = "stills"
+listen = "127.0.0.1:{port}"
+upstreams = {{ kind = "static", addresses = ["127.0.0.1:{server}"] }}
+[[applications.classes]]
+name = "view"
+path = "/views/**"
+deadline_ms = 8000
+"""
+
+
+class Log:
+    """What the supervisor writes, as it writes it."""
+
+    def __init__(self, process: subprocess.Popen[str]) -> None:
+        self.text, self._process = "", process
+        Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        assert self._process.stderr is not None
+        for line in self._process.stderr:
+            self.text += line
+
+    def until(self, condition: Callable[[str], bool]) -> None:
+        for _ in range(int(PATIENCE / 0.02)):
+            if condition(self.text):
+                return
+            time.sleep(0.02)
+        raise AssertionError(self.text)
+
+    def serves(self, worker: int) -> list[int]:
+        """The processes that have served as this worker, in order."""
+        return [int(p) for p in re.findall(rf"worker {worker} serves, process (\d+)", self.text)]
+
+
+@contextmanager
+def two(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[str], Log, Path, int]]:
+    with serving() as server:
+        path, port = tmp_path / "f.toml", free_port()
+        path.write_text(TEXT.format(port=port, server=server))
+        with running(path, "-m", "passpost.cli", "run", str(path), "--workers", "2") as process:
+            log = Log(process)
+            log.until(lambda _: bool(log.serves(1) and log.serves(2)))
+            until_ready(port, process)
+            yield process, log, path, port
+
+
+def ask(port: int) -> int:
+    return get(port, "/views/1")[0]
+
+
+def test_a_worker_that_dies_is_replaced_and_the_other_serves_on(tmp_path: Path) -> None:
+    with two(tmp_path) as (process, log, _, port):
+        assert {ask(port) for _ in range(10)} == {200}
+        os.kill(log.serves(1)[0], signal.SIGKILL)
+        assert {ask(port) for _ in range(10)} == {200}
+        log.until(lambda _: len(log.serves(1)) == 2)
+        assert "worker 1 ended with status -9" in log.text and len(log.serves(2)) == 1
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE) == 0
+
+
+def test_a_change_of_classes_reaches_both_and_one_of_limits_renews_them(tmp_path: Path) -> None:
+    with two(tmp_path) as (process, log, path, port):
+        before = path.read_text()
+        path.write_text(before.replace("/views/**", "/stills/**"))
+        process.send_signal(signal.SIGHUP)
+        log.until(lambda text: "workers read it in turn" in text and text.count("1 changes") >= 3)
+        assert {get(port, "/stills/1")[0] for _ in range(20)} == {200} and ask(port) == 404
+        path.write_text(before.replace("descriptors = 512", "descriptors = 600"))
+        process.send_signal(signal.SIGHUP)
+        answers = []
+        while len(log.serves(1)) < 2 or len(log.serves(2)) < 2:
+            answers.append(get(port, "/health/ready")[0])
+            assert process.poll() is None and len(answers) < 20_000
+        assert "workers are renewed in turn" in log.text
+        assert set(answers) <= {200, 503}  # a draining worker says that it is not ready; none is cut off
+        assert {ask(port) for _ in range(20)} == {200}
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE) == 0
+
+
+def test_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    with two(tmp_path) as (process, log, path, port):
+        path.write_text(path.read_text().replace("descriptors = 512", "descriptors = 90"))
+        process.send_signal(signal.SIGHUP)
+        log.until(lambda text: "the old configuration stays: limits.descriptors: 90 are too few" in text)
+        assert ask(port) == 200 and len(log.serves(1)) == 1
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE) == 0
+
+
+def test_workers_end_when_their_parent_is_killed(tmp_path: Path) -> None:
+    with two(tmp_path) as (process, log, _, _port):
+        workers = [log.serves(1)[0], log.serves(2)[0]]
+        process.kill()
+        process.wait(PATIENCE)
+        for _ in range(int(PATIENCE / 0.02)):
+            if not any(Path(f"/proc/{w}").exists() for w in workers):
+                return
+            time.sleep(0.02)
+        raise AssertionError("a worker is left")
+
+
+def test_a_taken_port_ends_with_one_line(tmp_path: Path) -> None:
+    with two(tmp_path) as (_process, _log, path, _port):
+        with running(path, "-m", "passpost.cli", "run", str(path), "--workers", "2") as second:
+            _, text = second.communicate(timeout=PATIENCE)
+        assert second.returncode == 1 and "Address already in use" in text and "Traceback" not in text
+
+
+def file() -> File:
+    found = parse(GOOD, "f.toml").file
+    assert found is not None
+    return found
+
+
+@pytest.mark.parametrize("count", [2, 4])
+def test_a_worker_s_part_of_a_file(count: int) -> None:
+    whole, part = file(), divided(file(), count)
+    assert part.limits.descriptors * count <= whole.limits.descriptors
+    assert part.limits.connections * count <= 0.55 * whole.limits.descriptors
+    assert part.limits.upstream_connections * count <= 0.35 * whole.limits.descriptors
+    assert [a.balancers for a in part.applications] == [count * a.balancers for a in whole.applications]
+    assert [a.classes for a in part.applications] == [a.classes for a in whole.applications]
+
+
+def test_limits_that_can_not_be_divided_are_refused() -> None:
+    with pytest.raises(ValueError, match="1024 are too few for 64 workers"):
+        divided(file(), 64)
