--- a/tests/workers/test_plan.py
+++ b/tests/workers/test_plan.py
@@ -101,6 +101,21 @@
     assert rig.plan.states() == [State.READY] * 3 and rig.sleep(100) == []
 
 
+def test_a_renewal_waits_for_one_that_died_and_forgets_nobody() -> None:
+    rig = Rig()
+    rig.ends(2, -9)
+    assert rig.done(rig.plan.renew(rig.now)) == []  # two would be missing
+    rig.sleep(FIRST_PAUSE_S)
+    assert rig.ready(2) == [Tell(0, signal.SIGTERM)]
+    rig.ends(2, -9)  # while the first drains
+    rig.sleep(1)
+    assert rig.ready(2) == []
+    rig.ends(0, 0)
+    assert rig.ready(0) == [Tell(1, signal.SIGTERM)]
+    rig.ends(1, 0)
+    assert rig.ready(1) == [Tell(2, signal.SIGTERM)]
+
+
 def test_a_renewal_that_starts_no_worker_leaves_the_others_alone() -> None:
     rig = Rig()
     rig.done(rig.plan.renew(rig.now))
