--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -13,6 +13,7 @@
 import asyncio
 import json
 import os
+import resource
 import statistics
 import subprocess
 import sys
@@ -316,6 +317,8 @@
 
 async def measure(options: argparse.Namespace) -> list[dict[str, Any]]:
     os.sched_setaffinity(0, {CLIENT_CORE})
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))  # for all that are started from here
     processes: deque[subprocess.Popen[str]] = deque()
     with tempfile.TemporaryDirectory(prefix="passpost-size-") as folder:
         try:
