A file read again gives the workers' end its new times

Need: drain.kill_after_s and deadlines of the start held until the parent restarted. Change: the plan takes those of the file read last, unless the end has begun. Tested on the plan's own clock.

--- a/passpost/workers/plan.py
+++ b/passpost/workers/plan.py
@@ -83,6 +83,11 @@
         """Each worker's state."""
         return [s.state for s in self._slots]
 
+    def allow(self, kill_after_s: float, drain_s: float) -> None:
+        """Other times for the end, from a file read again; an end that has begun keeps those it began with."""
+        if self._stop_at is None:
+            self._within, self._drain = kill_after_s, drain_s
+
     # ---- what happens
 
     def begin(self, now: float) -> list[Action]:
--- a/passpost/workers/supervisor.py
+++ b/passpost/workers/supervisor.py
@@ -53,6 +53,12 @@
     return msgspec.structs.replace(file, limits=part, applications=applications)
 
 
+def times(file: File) -> tuple[float, float]:
+    """The time until the kill, and how long one worker may take to drain, in seconds."""
+    longest = max(c.deadline_ms for a in file.applications for c in a.classes) / 1000
+    return file.drain.kill_after_s, file.drain.serve_s + longest + END_S
+
+
 class PassedHost(Host):
     """A host whose listening sockets have been passed by the parent."""
 
@@ -105,9 +111,7 @@
         raise_descriptors(self._file.limits.descriptors)
         self._sockets: dict[str, socket.socket] = {}
         self._listen(self._file)
-        longest = max(c.deadline_ms for a in self._file.applications for c in a.classes) / 1000
-        drain = self._file.drain.serve_s + longest + END_S
-        self._plan = Plan(count, self._file.drain.kill_after_s, drain)
+        self._plan = Plan(count, *times(self._file))
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -168,6 +172,7 @@
         how = "workers are renewed in turn" if renews else "workers read it in turn"
         log.info("configuration read again: %d changes%s", len(changes), f"; {how}" if changes else "")
         self._file = file
+        self._plan.allow(*times(file))
         now = asyncio.get_running_loop().time()
         if changes:
             self._do(self._plan.renew(now) if renews else self._plan.reread(now))
--- a/tests/workers/test_plan.py
+++ b/tests/workers/test_plan.py
@@ -142,6 +142,15 @@
     assert rig.ends(2, 0) == [End(0)]
 
 
+def test_a_file_read_again_gives_the_end_other_times() -> None:
+    rig = Rig(2)
+    rig.plan.allow(5.0, 1.0)
+    rig.done(rig.plan.stop(rig.now))
+    rig.plan.allow(500.0, 1.0)  # too late: whoever kills us knows the time from the start of the end
+    rig.sleep(5.0)
+    assert [t.signal for t in rig.told] == [signal.SIGTERM] * 2 + [signal.SIGKILL] * 2
+
+
 def test_whoever_does_not_end_is_killed_in_time() -> None:
     rig = Rig(2)
     rig.done(rig.plan.stop(rig.now))
