Servers that are not kept to are in no set of draws

The fleet kept a second set of buckets that nothing ever drew from, and the module passed lists of sets that stood for three counts. Now only kept servers lie in buckets, the fleet owns whether a server is fit, and the module says of how many ready servers an attempt may have one. Tests follow the structure: the others are in no bucket.

--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -158,7 +158,8 @@
         desk.show(*(Member(f"s{i}") for i in names))
         fleet = desk.balancer._fleet
         assert {s.member.server for s in fleet.ready} == {f"s{i}" for i in names}
-        assert len(list(fleet.kept)) + len(list(fleet.others)) == 5_000
+        assert {id(s) for s in fleet.kept} == {id(s) for s in fleet.ready[: fleet.keeps]}
+        assert len(fleet.ready) == 5_000 and all(s.bucket is None for s in fleet.ready[fleet.keeps :])
         assert len(desk.balancer._servers) == 5_000
 
 
@@ -233,13 +234,13 @@
         fleet, ready = self.fleet, self.fleet.ready
         assert [s.rank for s in ready] == sorted(s.rank for s in ready)
         assert {id(s) for s in fleet.kept} == {id(s) for s in ready[: fleet.keeps]}
-        assert {id(s) for s in fleet.others} == {id(s) for s in ready[fleet.keeps :]}
-        for server in ready:
+        assert all(s.fit for s in ready) and all(s.bucket is None for s in ready[fleet.keeps :])
+        for server in ready[: fleet.keeps]:
             assert server.bucket is not None and server.bucket.servers[server.index] is server
 
     @invariant()
     def bounds_hold(self) -> None:
-        for server in self.fleet.ready:
+        for server in self.fleet.kept:
             assert server.bucket is not None
             for later in (0.0, 3_000.0, 60_000.0):
                 fade = math.exp(-(self.now + later - server.seen) / MEMORY_MS)
@@ -252,7 +253,7 @@
     @invariant()
     def calls_are_counted(self) -> None:
         kept = sum(s.served * math.exp((s.seen - self.now) / MEMORY_MS) for s in self.fleet.kept)
-        others = sum(s.counted for s in self.fleet.others)
+        others = sum(s.counted for s in self.fleet.ready[self.fleet.keeps :])
         assert math.isclose(self.fleet.calls(self.now), kept + others, rel_tol=1e-6, abs_tol=1e-6)
 
 
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -15,7 +15,7 @@
 from umberworks import interface as face
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
 from umberworks.room import RATE_MEMORY_MS, Room
-from umberworks.servers import MEMORY_MS, Draws, Fleet, Pick, Server
+from umberworks.servers import MEMORY_MS, Fleet, Pick, Server
 from umberworks.shares import Shares
 
 FEW = 16  # of up to so many servers a pick walks over all, which takes as long as trials
@@ -149,7 +149,6 @@
             self._fleet.enter(server, self._median or 1.0, self._now)
         elif server.fit and not fit:
             self._fleet.leave(server, self._median or 1.0, self._now)
-        server.fit = fit
         if not fit:
             self._leaving[server.member.server] = server
 
@@ -316,16 +315,16 @@
         if not request.owed and not request.is_out():
             self._requests.pop(request.id, None)
 
-    def _able(self, request: _Request, now: float) -> tuple[list[Draws], Callable[[Server], bool] | None]:
-        """The sets from which the next attempt's server is drawn, and what it must be besides."""
+    def _able(self, request: _Request, now: float) -> tuple[int, Callable[[Server], bool] | None]:
+        """Of how many ready servers, by rank, the next attempt may have one, and what it must be besides."""
         cls, fleet = request.cls, self._fleet
         ran = next((a for a in request.attempts if a.ran), None)
         if request.is_out() and not self._settings.may_duplicate:
-            return [], None
+            return 0, None
         if ran is None or cls.effect is Effect.REPEATABLE:
-            return [fleet.kept], None
+            return fleet.keeps, None
         if cls.effect is Effect.ONCE or now >= ran.sent + cls.repeat_window_ms - self._settings.tick_ms:
-            return [], None
+            return 0, None
         sent, first, group = ran.sent, ran.server.member, cls.repeat_group
 
         def drops_repeats(server: Server) -> bool:
@@ -337,14 +336,14 @@
                 return True
             return member.zone == first.zone if group is RepeatGroup.ZONE else member.cell == first.cell
 
-        return [fleet.kept, fleet.others], drops_repeats
+        return len(fleet.ready), drops_repeats
 
     # ---- the ordinary path ----------------------------------------------------------------------
 
     def _pick(self, request: _Request, now: float) -> Server | None:
         """Draw servers by capacity and take the one least loaded after this call."""
         median = self._known_median(now)
-        sets, harmless = self._able(request, now)
+        count, harmless = self._able(request, now)
         cold, tried = now < self._cold_until, [a.server for a in request.attempts]
         warmth = self._warmth if cold else None
         pick = Pick(self._random, now, median, warmth, self._sliver)
@@ -361,19 +360,16 @@
             def fresh(server: Server) -> bool:
                 return server not in tried and (test is None or test(server))
 
-        if len(sets) == 1 and self._fleet.keeps > FEW and len(self._fleet.ready) > FEW:
-            found = pick.among(sets[0], fresh)
+        if harmless is None and count > FEW and len(self._fleet.ready) > FEW:
+            found = pick.among(self._fleet.kept, fresh)
             if found is not None:
                 return found
-        few = self._look(sets, fresh, request) if tried else []
-        return pick.of(few or self._look(sets, test, request))
-
-    def _look(
-        self, sets: list[Draws], test: Callable[[Server], bool] | None, request: _Request
-    ) -> list[Server]:
-        """The servers that pass a test, of so many that a walk over them is short."""
-        ready = self._fleet.ready
-        walked = ready[: self._fleet.keeps] if len(sets) == 1 else ready if sets else []
+        few = self._look(count, fresh, request) if tried else []
+        return pick.of(few or self._look(count, test, request))
+
+    def _look(self, count: int, test: Callable[[Server], bool] | None, request: _Request) -> list[Server]:
+        """The first ready servers that pass a test, of so many that a walk over them is short."""
+        walked = self._fleet.ready[:count]
         if len(walked) > WALK and request.cls.repeat_group is RepeatGroup.ALL:
             start = self._random.randrange(len(walked))
             walked = (walked[start:] + walked[:start])[:WALK]
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -50,7 +50,7 @@
         self.fit, self.heard = False, now
         self.in_flight = 0  # m of the design, held slots of failures included
         self.last_sent = -math.inf
-        self.bucket: _Bucket | None = None
+        self.bucket: _Bucket | None = None  # while it is kept to
         self.index = 0  # in its bucket
         self.counted = 0.0  # calls of it that count as in memory while it is not kept to
         self.forget(now)
@@ -83,10 +83,9 @@
 
 
 class _Bucket:
-    __slots__ = ("draws", "largest", "servers", "top")
+    __slots__ = ("largest", "servers", "top")
 
-    def __init__(self, draws: Draws, top: float, largest: float) -> None:
-        self.draws = draws
+    def __init__(self, top: float, largest: float) -> None:
         self.top, self.largest = top, largest  # no capacity for each size, and no size, is above these
         self.servers: list[Server] = []
 
@@ -105,12 +104,20 @@
         bucket = self._buckets.get(key)
         if bucket is None:
             top = 2.0 ** key[0] if bound else 0.0
-            bucket = self._buckets[key] = _Bucket(self, top, 1.0 if size == 1.0 else 2.0 ** key[1])
+            bucket = self._buckets[key] = _Bucket(top, 1.0 if size == 1.0 else 2.0 ** key[1])
         if bucket is not server.bucket:
-            drop(server)
+            self.drop(server)
             server.bucket, server.index = bucket, len(bucket.servers)
             bucket.servers.append(server)
-            self._table = None
+
+    def drop(self, server: Server) -> None:
+        """Let a server go, if it is in."""
+        self._table = None
+        bucket, server.bucket = server.bucket, None
+        if bucket is not None:
+            last = bucket.servers.pop()
+            if last is not server:
+                bucket.servers[server.index], last.index = last, server.index
 
     def table(self, usual: float) -> tuple[list[_Bucket], list[float]]:
         """The buckets that hold a server, and their whole bounds, each with those before it."""
@@ -125,22 +132,12 @@
             yield from list(bucket.servers)
 
 
-def drop(server: Server) -> None:
-    """Let a server go from whatever set it is in."""
-    bucket, server.bucket = server.bucket, None
-    if bucket is not None:
-        bucket.draws._table = None
-        last = bucket.servers.pop()
-        if last is not server:
-            bucket.servers[server.index], last.index = last, server.index
-
-
 class Fleet:
-    """The ready servers in the order of their ranks: the first `keeps` of them, and the others."""
+    """The ready servers in the order of their ranks; the first `keeps` of them can be drawn from."""
 
     def __init__(self) -> None:
         self.ready: list[Server] = []
-        self.kept, self.others = Draws(), Draws()
+        self.kept = Draws()
         self.keeps = 0
         self._lowest = 1.0  # usual capacity since all bounds were set
         # Served calls in memory: of the kept ones as of a moment, of the others as of when they were let go.
@@ -151,6 +148,7 @@
         i = bisect(self.ready, server.rank, key=_rank)
         self.ready.insert(i, server)
         self._take(server, i < self.keeps, usual, now)
+        server.fit = True
         if i < self.keeps < len(self.ready):
             self._take(self.ready[self.keeps], False, usual, now)
 
@@ -161,6 +159,7 @@
             i += 1
         del self.ready[i]
         self._let_go(server, now)
+        server.fit = False
         if i < self.keeps <= len(self.ready):
             self._take(self.ready[self.keeps - 1], True, usual, now)
 
@@ -182,21 +181,19 @@
     def served(self, server: Server, usual: float, now: float) -> None:
         """A server has served: its capacity may have risen."""
         if (bucket := server.bucket) is not None:
-            if bucket.draws is self.kept:
-                self.calls(now)
-                self._kept_calls += 1
-            else:
-                server.counted += 1
-                self._other_calls += 1
+            self.calls(now)
+            self._kept_calls += 1
             if not bucket.top / 4 < server.bound(usual * server.size) / server.size <= bucket.top:
-                bucket.draws.put(server, usual)
+                self.kept.put(server, usual)
+        elif server.fit:
+            server.counted += 1
+            self._other_calls += 1
 
     def is_usual(self, usual: float) -> None:
         """The usual capacity has changed."""
         if usual > RISE * self._lowest:
-            for draws in (self.kept, self.others):
-                for server in draws:
-                    draws.put(server, usual)
+            for server in self.kept:
+                self.kept.put(server, usual)
             self._lowest = usual
         self._lowest = min(self._lowest, usual)
 
@@ -204,20 +201,19 @@
         self._let_go(server, now)
         if kept:
             self._kept_calls += server.served
+            self.kept.put(server, usual)
         else:
             server.counted = server.served
             self._other_calls += server.counted
-        (self.kept if kept else self.others).put(server, usual)
 
     def _let_go(self, server: Server, now: float) -> None:
         self.calls(now)
         server.catch_up(now)
-        if (bucket := server.bucket) is not None:
-            if bucket.draws is self.kept:
-                self._kept_calls = max(self._kept_calls - server.served, 0.0)
-            else:
-                self._other_calls = max(self._other_calls - server.counted, 0.0)
-            drop(server)
+        if server.bucket is not None:
+            self._kept_calls = max(self._kept_calls - server.served, 0.0)
+            self.kept.drop(server)
+        elif server.fit:
+            self._other_calls = max(self._other_calls - server.counted, 0.0)
 
 
 def _rank(server: Server) -> float:
