One piece of code for judging a file, for refusing one read again, and for listening

The findings of a file were put together in three places, the log of a refused reload in two, the listening socket made again in the workers' parent, and hop-by-hop headers filtered twice where a Connection field stands. Each has one piece now.

--- a/passpost/cli/new.py
+++ b/passpost/cli/new.py
@@ -13,8 +13,7 @@
 
 from passpost.cli.check import sentence
 from passpost.cli.command import UnusableError
-from passpost.operator import reader, writer
-from passpost.operator.checks import check
+from passpost.operator import checks, reader, writer
 from passpost.operator.description import Description
 from passpost.operator.reader import Problem, UnreadableError
 
@@ -74,8 +73,7 @@
 
 def findings(text: str, path: str) -> list[Problem]:
     """What `check` would say of a text."""
-    reading = reader.parse(text, path)
-    return reading.with_meaning(check(reading.file) if reading.file is not None else ())
+    return checks.findings(reader.parse(text, path))
 
 
 def write(path: Path, text: str, force: bool) -> int:
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -22,8 +22,11 @@
 def end_to_end(headers: Headers) -> Headers:
     """The headers that a proxy passes on; framing and connection headers are each hop's own."""
     kept = [pair for pair in headers if pair[0].lower() not in HOP_BY_HOP]
-    if len(kept) == len(headers):
-        return kept
+    return kept if len(kept) == len(headers) else without_named(kept, headers)
+
+
+def without_named(kept: Headers, headers: Headers) -> Headers:
+    """Those to be kept that the Connection fields among `headers` do not name (RFC 9110, section 7.6.1)."""
     named = {
         token.strip().lower()
         for name, value in headers
--- a/passpost/operator/checks.py
+++ b/passpost/operator/checks.py
@@ -13,7 +13,7 @@
 
 from passpost.operator import model
 from passpost.operator.model import Application, Class, File
-from passpost.operator.reader import Problem
+from passpost.operator.reader import Problem, Reading
 from passpost.operator.routes import covers, meet, segments
 
 OTHER_DESCRIPTORS = (
@@ -77,6 +77,11 @@
 # ---- the process --------------------------------------------------------------------------------
 
 
+def findings(reading: Reading) -> list[Problem]:
+    """All that is wrong or unwise in what was read, of form and of meaning."""
+    return reading.with_meaning(check(reading.file) if reading.file is not None else ())
+
+
 def connections(file: File) -> tuple[int, int]:
     """Callers' and upstreams' connections that the process may hold."""
     limits = file.limits
--- a/passpost/operator/membership.py
+++ b/passpost/operator/membership.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from passpost.host import Address
 from umberworks.interface import ListKind, ListUpdate, Member
@@ -66,8 +66,3 @@
     if pair is None or not is_address(pair[0]) or not pair[1]:
         raise ValueError(f"{where}{text[:80]!r} is no IP address and port")
     return pair
-
-
-def of_static(texts: Iterable[str]) -> Mapping[str, list[Address]]:
-    """Fixed addresses as one source."""
-    return {"static": [read_address(t) for t in texts]}
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -20,7 +20,7 @@
 from passpost.http1 import Answer
 from passpost.operator import sources
 from passpost.operator.callers import PlainCallers
-from passpost.operator.checks import check, connections, split
+from passpost.operator.checks import connections, findings, split
 from passpost.operator.diff import Change, difference
 from passpost.operator.model import Application, File
 from passpost.operator.probe import SERVER
@@ -48,7 +48,7 @@
 def read(path: str) -> File:
     """A file that is fit to run; raises UnreadableError or UnusableError."""
     reading = load(path)
-    found = reading.with_meaning(check(reading.file) if reading.file is not None else ())
+    found = findings(reading)
     errors = [p for p in found if not p.warning]
     if errors or reading.file is None:
         raise UnusableError(path, errors)
@@ -283,16 +283,30 @@
     return sidecar
 
 
-def reload(sidecar: Sidecar, path: str) -> None:
-    """Read the file again and take over what can be; a file that can't be used changes nothing."""
-    try:
-        changes = sidecar.reload(sidecar.part(read(path)))
-    except UnusableError as error:
+REFUSALS = (
+    UnusableError,
+    UnreadableError,
+    OSError,
+    ValueError,
+)  # why a file read again may not be taken over
+
+
+def stays(path: str, error: Exception) -> None:
+    """Say why a file that was read again is not taken over."""
+    if isinstance(error, UnusableError):
         for problem in error.problems:
             log.error("%s:%d: %s: %s", path, problem.line, problem.key, problem.text)
         log.error("the old configuration stays")
-    except (UnreadableError, OSError, ValueError) as error:
+    else:
         log.error("the old configuration stays: %s", error)
+
+
+def reload(sidecar: Sidecar, path: str) -> None:
+    """Read the file again and take over what can be; a file that can't be used changes nothing."""
+    try:
+        changes = sidecar.reload(sidecar.part(read(path)))
+    except REFUSALS as error:
+        stays(path, error)
     else:
         for change in changes:
             log.info("%s: %s%s", change.key, change.text, " (waits for a restart)" if change.restart else "")
--- a/passpost/operator/sources.py
+++ b/passpost/operator/sources.py
@@ -17,7 +17,7 @@
 from passpost.host import HOST, Address, Host
 from passpost.operator import model
 from passpost.operator.checks import split
-from passpost.operator.membership import Membership, of_static, read_lines
+from passpost.operator.membership import Membership, read_address, read_lines
 from umberworks.interface import ListUpdate
 
 log = logging.getLogger(__name__)
@@ -105,8 +105,7 @@
 
     def __init__(self, source: model.Static, host: Host = HOST) -> None:
         super().__init__(host)
-        for name, addresses in of_static(source.addresses).items():
-            self._known.learn(name, addresses)
+        self._known.learn("static", map(read_address, source.addresses))
 
     def start(self, tell: Tell) -> None:
         self._tell = tell
--- a/passpost/rehearsal/carried.py
+++ b/passpost/rehearsal/carried.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from passpost.host import HOST, Address, Host
-from passpost.operator.checks import check, connections
+from passpost.operator.checks import connections, findings
 from passpost.operator.model import Application, Discovered, File
 from passpost.operator.reader import UnreadableError, load
 from passpost.operator.routes import Routes
@@ -46,8 +46,7 @@
         reading = load(path)
     except UnreadableError as error:
         raise MismatchError("sidecar.file", str(error)) from None
-    found = reading.with_meaning(check(reading.file) if reading.file is not None else ())
-    errors = [p for p in found if not p.warning]
+    errors = [p for p in findings(reading) if not p.warning]
     if errors:
         first = errors[0]
         more = f", and {len(errors) - 1} more mistakes" if len(errors) > 1 else ""
--- a/passpost/validation.py
+++ b/passpost/validation.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from passpost.http1 import HOP_BY_HOP, MAX_BODY, MAX_HEAD, Headers, end_to_end
+from passpost.http1 import HOP_BY_HOP, MAX_BODY, MAX_HEAD, Headers, without_named
 from umberworks.interface import Effect, RequestClass
 
 READY = b"/health/ready"
@@ -76,7 +76,7 @@
     if twice or not _TARGET.fullmatch(target) or not _VALUE.fullmatch(b"".join(values)):
         raise BadRequestError(400)
     if b"connection" in fields:
-        kept = end_to_end([*kept, *((n, v) for n, v in headers if n.lower() == b"connection")])
+        kept = without_named(kept, headers)
     length, coding = fields.get(b"content-length"), fields.get(b"transfer-encoding")
     if length is not None and (coding is not None or not _LENGTH.fullmatch(length)):
         raise BadRequestError(400)  # with both, one of them hides a second request from somebody
--- a/passpost/workers/supervisor.py
+++ b/passpost/workers/supervisor.py
@@ -18,18 +18,18 @@
 
 import msgspec
 
-from passpost.host import Address, Host, Listener
+from passpost.host import HOST, Address, Host, Listener
 from passpost.operator.checks import connections, split
 from passpost.operator.diff import difference
+from passpost.operator.membership import written
 from passpost.operator.model import File
-from passpost.operator.reader import UnreadableError
-from passpost.operator.sidecar import END_S, UnusableError, raise_descriptors, read
+from passpost.operator.sidecar import END_S, REFUSALS, raise_descriptors, read, stays
+from passpost.server import BACKLOG
 from passpost.workers.plan import Action, End, Plan, Start, Tell
 
 log = logging.getLogger("passpost")
 
 LISTENERS, READY, COUNT = "PASSPOST_LISTENERS", "PASSPOST_READY_FD", "PASSPOST_WORKERS"
-BACKLOG = 1024
 LEAST_DESCRIPTORS = 64
 
 
@@ -69,7 +69,7 @@
 
     def listen(self, address: Address, backlog: int) -> Listener:
         """The parent's socket for this address; OSError if it passed none."""
-        name = f"{address[0]}:{address[1]}"
+        name = written(address)
         if name not in self._descriptors:
             raise OSError(f"no listening socket for {name} was passed")
         return socket.socket(fileno=os.dup(self._descriptors[name]))
@@ -109,7 +109,7 @@
         self._file = read(path)
         divided(self._file, count)
         raise_descriptors(self._file.limits.descriptors)
-        self._sockets: dict[str, socket.socket] = {}
+        self._sockets: dict[str, Listener] = {}
         self._listen(self._file)
         self._plan = Plan(count, *times(self._file))
         self._processes: dict[int, asyncio.subprocess.Process] = {}
@@ -119,16 +119,14 @@
 
     def _listen(self, file: File) -> None:
         """Open what the file wants and is not open; OSError, and nothing is changed, if one can't be had."""
-        opened: dict[str, socket.socket] = {}
+        opened: dict[str, Listener] = {}
         try:
             for application in file.applications:
                 address = split(application.listen)
                 assert address is not None  # checked
-                name = f"{address[0]}:{address[1]}"
+                name = written(address)
                 if name not in self._sockets:
-                    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-                    opened[name] = socket.create_server(address, backlog=BACKLOG, family=family)
-                    opened[name].setblocking(False)
+                    opened[name] = HOST.listen(address, BACKLOG)
         except OSError:
             for one in opened.values():
                 one.close()
@@ -157,13 +155,8 @@
             divided(file, self._count)
             changes = difference(self._file, file)
             self._listen(file)
-        except UnusableError as error:
-            for problem in error.problems:
-                log.error("%s:%d: %s: %s", self._path, problem.line, problem.key, problem.text)
-            log.error("the old configuration stays")
-            return
-        except (UnreadableError, OSError, ValueError) as error:
-            log.error("the old configuration stays: %s", error)
+        except REFUSALS as error:
+            stays(self._path, error)
             return
         listens = {a.listen for a in file.applications}
         renews = listens != {a.listen for a in self._file.applications} or any(c.restart for c in changes)
