--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from passpost.config import ConfigError, load
+from passpost.config import Config, ConfigError, load
 from passpost.node import Node
 
 log = logging.getLogger("passpost")
@@ -40,6 +40,13 @@
         raise ConfigError(str(error)) from None
 
 
+def operated(config: Config) -> Node:
+    """A node that operators call. Loaded here, as the platform's older days have none."""
+    from passpost.ops import node
+
+    return node.OperatedNode(config, node.folder())
+
+
 async def serve(path: str, operator: str | None = None) -> None:
     """Run until SIGTERM, by the configuration at `path`; SIGHUP reads it again."""
     node: Node | None = None
@@ -52,6 +59,7 @@
             config = load(path)
         except ConfigError as error:
             log.error("the old configuration stays: %s", error)
+            node.reload_failed()
         else:
             log.info("configuration read again; discovery at %s:%d", *config.discovery)
             node.reload(config)
@@ -63,7 +71,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config = load(path)
-    node = Node(config)
+    node = Node(config) if config.ops is None else operated(config)
     log.info("%s serves on %s:%d", config.name, config.listen[0], node.server.port)
     if operator is not None:
         carried = beside(operator)
--- a/passpost/config.py
+++ b/passpost/config.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 from dataclasses import dataclass
 from typing import Any
 
@@ -33,6 +34,7 @@
     connect_timeout: float
     idle_timeout: float
     answer_grace: float
+    ops: Address | None = None  # where operators call, if they do
 
 
 def flatten(value: Any, path: str = "") -> wire.Fields:
@@ -78,5 +80,6 @@
         settings=wire.read_settings(facts, log.warning),
         connect_timeout=wire.number(facts, "limits.connectTimeout", 250.0) / 1000,
         idle_timeout=wire.number(facts, "limits.connIdle", 15_000.0) / 1000,
+        ops=parse_address(ops) if (ops := data.get("ops") or os.environ.get("EDGE_OPS")) else None,
         answer_grace=wire.number(facts, "contract.graceToAnswer", 0.0) / 1000,
     )
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -111,6 +111,7 @@
         self._known = known or Listing(0, False, (), {})
         self._revision = known.revision if known is not None else None  # None: asks for the whole list
         self._addresses: dict[str, Address] = {}
+        self.members: dict[str, bool] = {}  # the list as it stands: whether each is ready
         self._tell: Callable[[ListUpdate, dict[str, Address]], None] = lambda update, addresses: None
         self._task: asyncio.Task[None] | None = None
 
@@ -181,6 +182,9 @@
         kept = {} if listing.complete else self._addresses
         left = {m.server for m in listing.members if m.readiness is Readiness.GONE}
         self._addresses = {k: a for k, a in (kept | listing.addresses).items() if k not in left}
+        kept_members = {} if listing.complete else self.members
+        told = {m.server: m.readiness is Readiness.READY for m in listing.members}
+        self.members = {k: ready for k, ready in (kept_members | told).items() if k not in left}
         self._tell(ListUpdate(kind, listing.members), self._addresses)
 
     async def _call(self, line: _Line, wait_ms: int) -> Listing:
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -113,6 +113,13 @@
         self._post(face.RequestArrived(number, class_name, remaining * 1000, tenant, free_connections))
         return number
 
+    def told(self, event: face.Detached | face.Attached) -> None:
+        """An operator's word on a server."""
+        self._post(event)
+
+    def turned_back(self, class_name: str) -> None:
+        """A request had no time left when it was taken up; for engines that count."""
+
     def left(self, number: int) -> None:
         """The caller has gone."""
         request = self._requests.get(number)
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -27,13 +27,19 @@
 class Node:
     """The parts of one balancer, wired together and started."""
 
-    def __init__(self, config: Config, host: Host = HOST, module: type[Balancer] = Balancer) -> None:
+    def __init__(
+        self,
+        config: Config,
+        host: Host = HOST,
+        module: type[Balancer] = Balancer,
+        engine: type[Engine] = Engine,
+    ) -> None:
         self._config = config
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, int(config.sockets * UPSTREAMS_SHARE), host
         )
         self.discovery = Discovery(config.discovery, config.known, not config.settings.list_is_asked)
-        self.engine = Engine(
+        self.engine = engine(
             config.settings,
             config.seed,
             self.upstreams,
@@ -55,9 +61,24 @@
         self._config = config
         self.discovery.move(config.discovery)
 
+    def reload_failed(self) -> None:
+        """A configuration could not be used; for nodes that count."""
+
+    def limit(self, share: float) -> None:
+        """Hold so large a part of the descriptors at most."""
+        self.server.limit(int(self._config.sockets * CALLERS_SHARE * share))
+        self.upstreams.limit(int(self._config.sockets * UPSTREAMS_SHARE * share))
+
+    def within(self) -> float:
+        """How long a planned restart leaves us after SIGTERM, in seconds."""
+        return max(c.deadline_ms for c in self._config.settings.classes) / 1000 + KILL_AFTER_S - SPARE_S
+
     async def stop(self) -> None:
         """Finish what was taken, then close everything."""
-        longest = max(c.deadline_ms for c in self._config.settings.classes) / 1000
-        await self.server.drain(longest + KILL_AFTER_S - SPARE_S)
+        await self.server.drain(self.within())
+        self.close()
+
+    def close(self) -> None:
+        """Follow the list and keep connections no more."""
         self.discovery.stop()
         self.upstreams.stop()
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -36,6 +36,9 @@
 DEALT_AFTER_STOP_S = 0.2  # new connections come for so long at the least; later callers have what they hold
 LAST_CALL_S = 1.2  # the end of a drain: until then callers are kept, as they may have nowhere else to go
 DRAIN_STEP_S = 0.02
+EMPTY_AFTER_S = 1.5  # callers are kept so long after the call to empty us: they may have nowhere else to go
+EMPTY_BY_S = 3.7  # what comes later than that is answered by then: 4 s after the call nothing may be held
+IDLE_LOOK_S = 0.1
 LAST_LOOK_S = 0.2  # for the requests on connections taken at the very end
 
 _REASONS = {
@@ -209,6 +212,7 @@
         waited = self._monotonic() - request.came  # behind another
         remaining = min(call.remaining - waited, self._server.time_left())
         if remaining <= 0:
+            self._engine.turned_back(call.class_name)
             self.fail(504)
             return
         if call.txn in self._server.open_ids:  # an upstream would take the second for a copy of the first
@@ -324,6 +328,15 @@
             return 1  # silent, or half a request
         return None if self._reading else 2
 
+    def close_if_unused(self) -> None:
+        """Close if idle, and nothing has come that nobody has read: closing on that would reset it."""
+        if (
+            self.is_idle()
+            and self._transport is not None
+            and not self._server.host.watcher(self._transport)(0)
+        ):
+            self.close()
+
     def close(self) -> None:
         """Close between requests; a caller that leaves its last answer unread can't hold us up for long."""
         self._lingers = True
@@ -385,14 +398,15 @@
         self.engine = engine
         self.check: Check = check or partial(platform_check, classes=engine.classes)
         self.max_body, self.says_who = max_body, [(b"Server", name)] if name else []
-        self.monotonic = host.monotonic
+        self.host, self.monotonic = host, host.monotonic
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
         self._max_open, self._at_once = max_open, host.accept_at_once
         self._connections: dict[_Connection, None] = {}  # in order of coming: a set's would be chance
         self.open_ids: set[bytes] = set()
         self._accepting = False
-        self._socket = host.listen(address, BACKLOG)
+        self.listener = self._socket = host.listen(address, BACKLOG)
+        self._emptier: asyncio.Task[None] | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[object]] = set()
 
@@ -433,6 +447,7 @@
         At first only readiness ends: a caller keeps its connection until the last call, and then each answer
         closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
+        self.refill()
         self.draining, self._ends = True, self.monotonic() + within
         self._dealt_until = self.monotonic() + DEALT_AFTER_STOP_S
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
@@ -444,16 +459,63 @@
         self._pause()
         self._socket.close()
         await asyncio.sleep(LAST_LOOK_S)
+        await self._finish()
+
+    async def hand_over(self, within: float, last_call: float = LAST_CALL_S) -> None:
+        """Stop as `drain`, with another process that accepts from the same listening socket.
+
+        New connections are its own from now on, so that this one's may end with their next answer. Those that
+        lie idle stay until the last call: their callers are about to drop them, and a close could cross a request.
+        """
+        self.refill()
+        self._ends, self.closing = self.monotonic() + within, True
+        self._pause()
+        self._socket.close()
+        while self._connections and self.time_left() > last_call:
+            await asyncio.sleep(DRAIN_STEP_S)
+        await self._finish()
+
+    async def _finish(self) -> None:
+        """Close what is idle, wait for what is open until it is over or the time is up, and drop the rest."""
         while self._connections and (self.time_left() > 0 or any(c.is_busy() for c in self._connections)):
             for connection in list(self._connections):
-                if connection.is_idle():
-                    connection.close()
+                connection.close_if_unused()
             await asyncio.sleep(DRAIN_STEP_S)
         for connection in list(self._connections):  # half a request, or an answer that nobody reads
             connection.abort()
         if self._sweeper is not None:
             self._sweeper.cancel()
 
+    def empty(self) -> None:
+        """Let callers go elsewhere, and go on running: not ready at once, and soon no connection is kept."""
+        if self._emptier is None:
+            now = self.monotonic()
+            self.draining, self._dealt_until = True, now + DEALT_AFTER_STOP_S
+            self._ends = now + EMPTY_BY_S
+            self._emptier = asyncio.get_running_loop().create_task(self._empty())
+
+    async def _empty(self) -> None:
+        await asyncio.sleep(EMPTY_AFTER_S)
+        self.closing = True
+        while True:
+            if self.time_left() <= 0:
+                self._ends = math.inf  # whoever comes all the same has the whole time
+            for connection in list(self._connections):
+                connection.close_if_unused()
+            await asyncio.sleep(IDLE_LOOK_S)
+
+    def refill(self) -> None:
+        """Callers may come again."""
+        if self._emptier is not None:
+            self._emptier.cancel()
+            self._emptier = None
+            self.draining, self.closing = False, False
+            self._ends, self._dealt_until = math.inf, math.inf
+
+    def limit(self, max_open: int) -> None:
+        """Hold so many connections at most from now on; those over it go as others come."""
+        self._max_open = max_open
+
     def free_connections(self) -> float:
         """How many more requests callers can send at once; no bound while they can open connections."""
         if self.closing or self.monotonic() < self._dealt_until:
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -32,6 +32,7 @@
     body: bytes
     deadline_header: bytes = b"X-Remaining"
     bodyless: bool = False  # its answer has no body, whatever its length says
+    written: Callable[[], None] | None = None  # told of each attempt whose last byte has gone out
 
     def write(self, remaining: float) -> bytes:
         """The bytes for the wire."""
@@ -103,6 +104,8 @@
         attempt.connection = self
         self.unwritten = False  # the transport says at once if it could not write it all: see pause_writing
         self._transport.write(attempt.request.write(attempt.remaining()))
+        if not self.unwritten and attempt.request.written is not None:
+            attempt.request.written()
 
     def is_spent(self) -> bool:
         """Whether it can carry no more: it is closing, or has been told something since the last answer.
@@ -134,6 +137,8 @@
     def resume_writing(self) -> None:
         """The last byte has gone out."""
         self.unwritten = False
+        if self._attempt is not None and self._attempt.request.written is not None:
+            self._attempt.request.written()
 
     def data_received(self, data: bytes) -> None:
         """A piece of the answer; without an attempt it is stray, and the connection can't be trusted."""
@@ -231,6 +236,18 @@
             if name not in self._upstreams:
                 self._upstreams[name] = _Upstream(name, address)
 
+    def let_go(self, server: str) -> None:
+        """Close the idle connections to one upstream."""
+        if (upstream := self._upstreams.get(server)) is not None:
+            for connection in list(upstream.idle):
+                connection.drop()
+
+    def limit(self, max_open: int) -> None:
+        """Hold so many connections at most from now on; those idle for longest go first."""
+        self._max_open = max_open
+        while self._open > max_open and self._has_room():
+            pass
+
     def send(self, server: str, request: Outgoing, timeout: float, done: Done) -> Attempt:
         """Make one attempt; `done` is told its outcome once, later or at once."""
         attempt = Attempt(request, timeout, done, self.host)
--- a/tests/rehearsal/nights.py
+++ b/tests/rehearsal/nights.py
@@ -12,6 +12,7 @@
 from passpost.rehearsal.virtual import play
 from passpost.rehearsal.world import Night
 from umberworks import interface as face
+from umberworks.cold import Cold
 from umberworks.rules import Balancer
 
 FRAME = Class(name="frame", work_ms=40, aim_ms=600, deadline_ms=2_000)
@@ -68,15 +69,21 @@
         return super().handle(event, now)
 
 
-class FloodsTheCold(Balancer):
-    """Takes a node that has just started for the best of all."""
-
-    def _warmth(self, server: Any, now: float) -> float:
+class _AllWarm(Cold):
+    def warmth(self, server: Any, now: float) -> float:
         return 1.0
 
-    def _cold_room(self, server: Any, now: float) -> bool:
+    def has_room(self, server: Any, now: float) -> bool:
         return True
 
+
+class FloodsTheCold(Balancer):
+    """Takes a node that has just started for the best of all."""
+
+    def __init__(self, settings: face.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self._cold = _AllWarm(settings)
+
     def _has_room(self) -> bool:
         return True
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -15,7 +15,8 @@
 from tests import plain
 from tests.helpers import ANYWHERE, PAY, READ, Desk, sent
 from umberworks.interface import ListKind, Member, Outcome, Readiness, RequestArrived
-from umberworks.rules import FEW, WALK, Balancer, _Attempt, _Request
+from umberworks.requests import Attempt, Request
+from umberworks.rules import FEW, WALK, Balancer
 from umberworks.servers import MEMORY_MS, RISE, TRIALS, Draws, Fleet, Server
 
 PICKS = 30_000
@@ -38,10 +39,10 @@
     return desk
 
 
-def request(cls: Any = READ, *tried: tuple[Server, bool], now: float = 0.0) -> _Request:
-    made = _Request(RequestArrived(10**9, cls.name, 3_000), cls, now)
+def request(cls: Any = READ, *tried: tuple[Server, bool], now: float = 0.0) -> Request:
+    made = Request(RequestArrived(10**9, cls.name, 3_000), cls, now)
     for server, ran in tried:
-        attempt = _Attempt(server, now, 100.0)
+        attempt = Attempt(server, now, 100.0)
         attempt.out, attempt.ran = False, ran
         made.attempts.append(attempt)
     return made
@@ -64,7 +65,7 @@
     return value, len(keys) - 1
 
 
-def same(balancer: Balancer, asked: _Request, now: float, picks: int = PICKS) -> None:
+def same(balancer: Balancer, asked: Request, now: float, picks: int = PICKS) -> None:
     """Picks of the module and of the plain walk, at one moment, come from one distribution (p > 0.0005)."""
     ours, walk = Counter[str](), Counter[str]()
     for _ in range(picks):
@@ -144,8 +145,8 @@
     balancer._fleet.keep(3_000, 1.0, desk.now)
     monkeypatch.setattr(balancer, "_choose", lambda: None)
     looked = Counter[str]()
-    monkeypatch.setattr(balancer, "_cold_room", lambda server, now: looked.update([server.member.server]))
-    balancer._cold_until = math.inf
+    monkeypatch.setattr(balancer._cold, "has_room", lambda server, now: looked.update([server.member.server]))
+    balancer._cold.until = math.inf
     assert balancer._pick(request(), desk.now) is None
     assert looked.total() <= TRIALS + WALK
 
--- /dev/null
+++ b/umberworks/cold.py
@@ -0,0 +1,37 @@
+"""How much a server that has started lately may be sent (the contract: umberworks/interface.py)."""
+
+from __future__ import annotations
+
+from umberworks import interface as face
+from umberworks.servers import Server
+
+SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+
+
+class Cold:
+    """Warmth by age, and the pace that it allows."""
+
+    def __init__(self, settings: face.Settings) -> None:
+        self._settings = settings
+        self.until = 0.0  # some listed server may be cold up to then
+        self.usual_rate = 0.0  # served calls a millisecond of a warm server
+
+    def started(self, at: float) -> None:
+        """A server has started."""
+        self.until = max(self.until, at + self._settings.cold_ms)
+
+    def warmth(self, server: Server, now: float) -> float:
+        """The share of its capacity that a server has at the least, by its age."""
+        since = max(server.member.up_since_ms, server.back_at)
+        age = max(now - since, 0.0)  # by clocks that disagree it may start yet
+        if since <= 0 or age >= self._settings.cold_ms:
+            return 1.0
+        start = self._settings.cold_from
+        return start + (1 - start) * age / self._settings.cold_ms
+
+    def has_room(self, server: Server, now: float) -> bool:
+        """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
+        warmth = self.warmth(server, now)
+        rate = SAFETY * self._settings.cold_overload_factor * warmth * self.usual_rate
+        gap = now - server.last_sent
+        return warmth >= 1 or gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -225,7 +225,24 @@
     token: str
 
 
-Event = ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerDue
+@dataclass(frozen=True, slots=True)
+class Detached:
+    """An operator takes a server out: nothing new goes to it, whatever the list says, until it is attached."""
+
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Attached:
+    """An operator puts a server back that was detached; it may have started anew until `at_ms` of the clock."""
+
+    server: str
+    at_ms: float
+
+
+Event = (
+    ListUpdate | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerDue | Detached | Attached
+)
 
 
 # ---- actions ------------------------------------------------------------------------------------
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -13,7 +13,9 @@
 from heapq import heapify, heappop, heappush
 
 from umberworks import interface as face
+from umberworks.cold import Cold
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
+from umberworks.requests import Attempt, Request
 from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.servers import MEMORY_MS, Fleet, Pick, Server
 from umberworks.shares import Shares
@@ -36,31 +38,9 @@
 RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
 RETRY_BURST = 10.0  # further attempts that may be saved up
 PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
-COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 
 
-class _Attempt:
-    def __init__(self, server: Server, now: float, timeout: float) -> None:
-        self.server, self.sent, self.ends = server, now, now + timeout
-        self.out, self.ran = True, True  # it may have run until its outcome proves otherwise
-
-
-class _Request:
-    def __init__(self, event: face.RequestArrived, cls: face.RequestClass, now: float) -> None:
-        self.id, self.cls = event.request, cls
-        self.deadline, self.aim_at = now + event.remaining_ms, now + cls.aim_ms
-        self.attempts: list[_Attempt] = []
-        self.owed, self.over_share, self.streaming = True, False, False
-
-    def is_out(self) -> bool:
-        return any(a.out for a in self.attempts)
-
-    def useful_until(self) -> float:
-        """When an answer stops being worth anything."""
-        return self.deadline if self.cls.late_share > 0 else min(self.deadline, self.aim_at)
-
-
 class Balancer:
     """The decisions of one balancer instance: feed it events in order, carry out the actions it returns."""
 
@@ -70,14 +50,15 @@
         self._random = random.Random(seed)
         self._servers: dict[str, Server] = {}
         self._fleet = Fleet()
+        self._detached: set[str] = set()  # by operators; whatever the list says
         self._leaving: dict[str, Server] = {}  # not ready any more, with calls out
-        self._requests: dict[int, _Request] = {}
+        self._requests: dict[int, Request] = {}
         self._waiting: list[tuple[bool, float, int]] = []
         self._held: list[tuple[float, int, Server]] = []
         self._held_count, self._retries, self._now = 0, RETRY_BURST, 0.0
         self._room = Room(settings.balancers)
         self._tries: dict[str, Counter[int]] = {c.name: Counter() for c in settings.classes}
-        self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
+        self._median, self._median_at, self._cold = 0.0, -math.inf, Cold(settings)
         self._shares = Shares(settings.tenants, settings.balancers)
         self._asked, self._counted, self._sliver, self._list_failures = False, False, False, 0
         self._refusing_until = -math.inf
@@ -103,6 +84,12 @@
                 self._listed(event, now)
             case face.ClientLeft():
                 self._left(event.request)
+            case face.Detached():
+                self._detached.add(event.server)
+                if (server := self._servers.get(event.server)) is not None:
+                    self._is_fit(server, False)
+            case face.Attached():
+                self._attached(event, now)
             case face.AnswerStarted():
                 self._made(event)[0].streaming = True
         self._pump(now)
@@ -122,8 +109,9 @@
             self._actions.append(face.Log("server list is back"))
         if event.kind is not ListKind.CHANGES:
             named = {m.server for m in event.members}
-            for known in [s for n, s in self._servers.items() if s.fit and n not in named]:
-                self._is_fit(known, False)  # missing from a whole list means gone
+            for known in [s for n, s in self._servers.items() if s.listed and n not in named]:
+                known.listed = False  # missing from a whole list means gone
+                self._is_fit(known, False)
         for member in event.members:
             server = self._servers.get(member.server)
             if server is None:
@@ -134,16 +122,28 @@
             if member.up_since_ms > server.member.up_since_ms:
                 server.forget(now)  # the same name, a new process
             server.member, server.size = member, size
-            self._is_fit(server, member.readiness is face.Readiness.READY)
-            self._cold_until = max(self._cold_until, member.up_since_ms + self._settings.cold_ms)
+            server.listed = member.readiness is face.Readiness.READY
+            self._is_fit(server, server.listed and member.server not in self._detached)
+            self._cold.started(member.up_since_ms)
         for name, server in list(self._leaving.items()):
-            if server.fit or not server.in_flight:
+            if server.listed or not server.in_flight:
                 del self._leaving[name]
-                if not server.fit:
+                if not server.listed:
                     del self._servers[name]
         self._choose()
         self._median_at = -math.inf
 
+    def _attached(self, event: face.Attached, now: float) -> None:
+        """Take a server back as one that has just started: until the list tells, nobody knows better."""
+        self._detached.discard(event.server)
+        self._cold.started(event.at_ms)
+        server = self._servers.get(event.server)
+        if server is not None and server.back_at < event.at_ms:
+            server.back_at = event.at_ms
+            self._is_fit(server, False)
+            server.forget(now)
+            self._is_fit(server, server.listed)
+
     def _is_fit(self, server: Server, fit: bool) -> None:
         if fit and not server.fit:
             self._fleet.enter(server, self._median or 1.0, self._now)
@@ -162,9 +162,10 @@
         warm = []
         for server in self._fleet.ready[: min(self._fleet.keeps, WALK)]:  # ranks are drawn: as good as any
             server.catch_up(self._now)
-            if self._warmth(server, self._now) >= 1:
+            if self._cold.warmth(server, self._now) >= 1:
                 warm.append(server.served)
-        self._usual_rate = sum(warm) / len(warm) / MEMORY_MS if warm else self._usual_rate
+        if warm:
+            self._cold.usual_rate = sum(warm) / len(warm) / MEMORY_MS
 
     # ---- a request's path -----------------------------------------------------------------------
 
@@ -173,7 +174,7 @@
             raise ValueError(f"request {event.request} has arrived before")
         if event.class_name not in self._classes:
             raise ValueError(f"request {event.request} is of unknown class {event.class_name!r}")
-        request = _Request(event, self._classes[event.class_name], now)
+        request = Request(event, self._classes[event.class_name], now)
         request.over_share = self._shares.is_over(event.tenant, now)
         if self._settings.calling_tier == 0:
             self._mark_later_try(request, event.remaining_ms)
@@ -198,7 +199,7 @@
             else:
                 self._give_up(request)
 
-    def _mark_later_try(self, request: _Request, remaining: float) -> None:
+    def _mark_later_try(self, request: Request, remaining: float) -> None:
         """Move up the aim of a later try, told by its time left: past the first aim it is worth little."""
         tries, step = self._tries[request.cls.name], round(remaining / TRY_STEP_MS)
         tries[step] += 1
@@ -217,13 +218,13 @@
         elif not request.attempts:
             self._refuse_for_room(request, now)
 
-    def _refuse_for_room(self, request: _Request, now: float) -> None:
+    def _refuse_for_room(self, request: Request, now: float) -> None:
         if now > self._refusing_until:
             self._actions.append(face.Log(f"no room: refusing; {self._room.out} calls out"))
         self._refusing_until = now + MEMORY_MS
         self._give_up(request)
 
-    def _copy(self, request: _Request, now: float) -> None:
+    def _copy(self, request: Request, now: float) -> None:
         """Send a copy of what is overdue at a server that has served nothing since: it may hang."""
         silent = request.is_out() and all(a.server.heard <= a.sent for a in request.attempts if a.out)
         if silent and self._has_room():
@@ -237,7 +238,7 @@
                 return
             heappop(self._waiting)
 
-    def _crowded(self, request: _Request) -> bool:
+    def _crowded(self, request: Request) -> bool:
         """Whether to refuse by the mean time in service; calls still out are in it: a stall shows at once."""
         if self._counted or self._settings.calling_tier > 0:
             return False
@@ -250,7 +251,7 @@
             return True  # inner tiers let all in: a refusal there wastes what the tiers above have done
         return self._room.out < self._room.size(len(self._fleet.ready))
 
-    def _try_send(self, request: _Request, now: float) -> bool:
+    def _try_send(self, request: Request, now: float) -> bool:
         timeout = min(request.useful_until() - now, request.cls.attempt_ms or math.inf)
         most = min(self._settings.max_attempts, request.cls.attempts or math.inf)
         if timeout <= self._settings.tick_ms or len(request.attempts) >= most:
@@ -261,14 +262,14 @@
         server.catch_up(now)
         server.in_flight, server.last_sent = server.in_flight + 1, now
         self._room.out += 1
-        request.attempts.append(_Attempt(server, now, timeout))
+        request.attempts.append(Attempt(server, now, timeout))
         self._actions.append(face.Send(request.id, server.member.server, timeout))
         if self._room.mean and self._settings.may_duplicate and request.cls.effect is not Effect.ONCE:
             patience = PATIENCE * self._room.mean * request.cls.aim_ms
             self._actions.append(face.SetTimer(now + patience, f"copy:{request.id}"))
         return True
 
-    def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[_Request, _Attempt]:
+    def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[Request, Attempt]:
         request = self._requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
             raise ValueError(f"attempt {event.attempt} of request {event.request} was never made")
@@ -287,21 +288,21 @@
             self._give_up(request)
         self._drop_if_over(request)
 
-    def _try_again(self, request: _Request, now: float, keep: float = 0.0) -> bool:
+    def _try_again(self, request: Request, now: float, keep: float = 0.0) -> bool:
         """Make a further attempt out of the savings, of which `keep` stay for others."""
         if self._retries < keep + 1 or request.streaming or not self._try_send(request, now):
             return False
         self._retries -= 1
         return True
 
-    def _give_up(self, request: _Request) -> None:
+    def _give_up(self, request: Request) -> None:
         request.owed = False
         harmless = request.cls.effect is Effect.REPEATABLE or not any(a.ran for a in request.attempts)
         away = min(AWAY_SHARE * request.cls.aim_ms, self._settings.max_retry_after_ms)
         self._actions.append(face.Refuse(request.id, away) if harmless else face.Fail(request.id))
         self._drop_if_over(request)
 
-    def _cancel_rest(self, request: _Request) -> None:
+    def _cancel_rest(self, request: Request) -> None:
         if self._settings.may_cancel and not request.streaming:
             self._actions.extend(face.Cancel(request.id, i) for i, a in enumerate(request.attempts) if a.out)
 
@@ -311,11 +312,11 @@
             self._cancel_rest(request)
             self._drop_if_over(request)
 
-    def _drop_if_over(self, request: _Request) -> None:
+    def _drop_if_over(self, request: Request) -> None:
         if not request.owed and not request.is_out():
             self._requests.pop(request.id, None)
 
-    def _able(self, request: _Request, now: float) -> tuple[int, Callable[[Server], bool] | None]:
+    def _able(self, request: Request, now: float) -> tuple[int, Callable[[Server], bool] | None]:
         """Of how many ready servers, by rank, the next attempt may have one, and what it must be besides."""
         cls, fleet = request.cls, self._fleet
         ran = next((a for a in request.attempts if a.ran), None)
@@ -330,7 +331,7 @@
         def drops_repeats(server: Server) -> bool:
             # A server that restarted since may have forgotten what it saw: not asked again.
             member = server.member
-            if member.up_since_ms > sent:
+            if max(member.up_since_ms, server.back_at) > sent:
                 return False
             if group is RepeatGroup.ALL:
                 return True
@@ -340,19 +341,21 @@
 
     # ---- the ordinary path ----------------------------------------------------------------------
 
-    def _pick(self, request: _Request, now: float) -> Server | None:
+    def _pick(self, request: Request, now: float) -> Server | None:
         """Draw servers by capacity and take the one least loaded after this call."""
         median = self._known_median(now)
         count, harmless = self._able(request, now)
-        cold, tried = now < self._cold_until, [a.server for a in request.attempts]
-        warmth = self._warmth if cold else None
+        cold, tried = now < self._cold.until, [a.server for a in request.attempts]
+        warmth = self._cold.warmth if cold else None
         pick = Pick(self._random, now, median, warmth, self._sliver)
 
         test: Callable[[Server], bool] | None = None
         if cold or harmless is not None:
 
             def test(server: Server) -> bool:
-                return (harmless is None or harmless(server)) and (not cold or self._cold_room(server, now))
+                return (harmless is None or harmless(server)) and (
+                    not cold or self._cold.has_room(server, now)
+                )
 
         fresh = test
         if tried:
@@ -367,7 +370,7 @@
         few = self._look(count, fresh, request) if tried else []
         return pick.of(few or self._look(count, test, request))
 
-    def _look(self, count: int, test: Callable[[Server], bool] | None, request: _Request) -> list[Server]:
+    def _look(self, count: int, test: Callable[[Server], bool] | None, request: Request) -> list[Server]:
         """The first ready servers that pass a test, of so many that a walk over them is short."""
         walked = self._fleet.ready[:count]
         if len(walked) > WALK and request.cls.repeat_group is RepeatGroup.ALL:
@@ -387,7 +390,7 @@
                 self._fleet.is_usual(self._median)
         return self._median or 1.0
 
-    def _book(self, attempt: _Attempt, outcome: Outcome, cls: face.RequestClass, now: float) -> None:
+    def _book(self, attempt: Attempt, outcome: Outcome, cls: face.RequestClass, now: float) -> None:
         """Count a served call; hold a failure's slot to its full time-out: it must not look idle."""
         server = attempt.server
         server.catch_up(now)
@@ -408,18 +411,3 @@
             server = heappop(self._held)[2]
             server.catch_up(now)
             server.in_flight -= 1
-
-    def _warmth(self, server: Server, now: float) -> float:
-        """The share of its capacity that a server has at the least, by its age."""
-        age = max(now - server.member.up_since_ms, 0.0)  # by clocks that disagree it may start yet
-        if server.member.up_since_ms <= 0 or age >= self._settings.cold_ms:
-            return 1.0
-        start = self._settings.cold_from
-        return start + (1 - start) * age / self._settings.cold_ms
-
-    def _cold_room(self, server: Server, now: float) -> bool:
-        """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
-        warmth = self._warmth(server, now)
-        rate = COLD_SAFETY * self._settings.cold_overload_factor * warmth * self._usual_rate
-        gap = now - server.last_sent
-        return warmth >= 1 or gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -30,6 +30,7 @@
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
     __slots__ = (
+        "back_at",
         "bucket",
         "busy",
         "counted",
@@ -38,6 +39,7 @@
         "in_flight",
         "index",
         "last_sent",
+        "listed",
         "member",
         "rank",
         "seen",
@@ -47,9 +49,10 @@
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank, self.size = member, rank, 1.0
-        self.fit, self.heard = False, now
+        self.listed, self.fit, self.heard = False, False, now  # ready by the list; and nobody took it out
         self.in_flight = 0  # m of the design, held slots of failures included
         self.last_sent = -math.inf
+        self.back_at = 0.0  # when it was last called back by hand: until the list tells, it started then
         self.bucket: _Bucket | None = None  # while it is kept to
         self.index = 0  # in its bucket
         self.counted = 0.0  # calls of it that count as in memory while it is not kept to
