The operators' listener no longer takes the socket that was handed over

Cause: both listeners asked the same host, and the first to ask got the callers' socket: the new version answered operators on the callers' address and callers nowhere. Ruled out: the address (it was free) and the list (it was known).

--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -12,6 +12,7 @@
 from typing import cast
 
 from passpost.config import Config
+from passpost.host import HOST
 from passpost.node import Node
 from passpost.ops import handover, rules
 from passpost.ops.counting import CountingEngine
@@ -41,7 +42,7 @@
             log.warning("no $TMPDIR: bans end with this process, and no later version can take over from it")
         taken = handover.take(stem.with_suffix(".sock")) if stem is not None else None
         host = handover.Shared(taken[0] if taken else None)
-        endpoint = Endpoint(config.ops, self.answer, host)  # first: what can't be had must not cost a caller
+        endpoint = Endpoint(config.ops, self.answer, HOST)  # first: what can't be had must not cost a caller
         try:
             super().__init__(config, host, engine=CountingEngine)
         except BaseException:
