A server put back by hand is in use again within a window

Ruled out by the logs: the calls (all answered yes) and the list. Change: the module sends one that was put back a call for each cold window until it has served one. Tests: lists, bans and requests in any order (stateful), a failing one, a repeat, all out.

--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -51,6 +51,7 @@
         self._servers: dict[str, Server] = {}
         self._fleet = Fleet()
         self._detached: set[str] = set()  # by operators; whatever the list says
+        self._back: list[Server] = []  # put back by hand, and nothing served since
         self._leaving: dict[str, Server] = {}  # not ready any more, with calls out
         self._requests: dict[int, Request] = {}
         self._waiting: list[tuple[bool, float, int]] = []
@@ -143,6 +144,7 @@
             self._is_fit(server, False)
             server.forget(now)
             self._is_fit(server, server.listed)
+            self._back.append(server)
 
     def _is_fit(self, server: Server, fit: bool) -> None:
         if fit and not server.fit:
@@ -363,6 +365,8 @@
             def fresh(server: Server) -> bool:
                 return server not in tried and (test is None or test(server))
 
+        if self._back and not tried and (back := self._put_back(now)) is not None:
+            return back
         if harmless is None and count > FEW and len(self._fleet.ready) > FEW:
             found = pick.among(self._fleet.kept, fresh)
             if found is not None:
@@ -370,6 +374,15 @@
         few = self._look(count, fresh, request) if tried else []
         return pick.of(few or self._look(count, test, request))
 
+    def _put_back(self, now: float) -> Server | None:
+        """A server that was put back by hand and has served nothing since: it is sent a call for each window.
+
+        A cold one wins no comparison while others are idle, and nobody would learn that it is well again.
+        """
+        self._back = [s for s in self._back if s.heard <= s.back_at and s.member.server not in self._detached]
+        window = self._settings.cold_window_ms
+        return next((s for s in self._back if s.fit and now - s.last_sent >= window), None)
+
     def _look(self, count: int, test: Callable[[Server], bool] | None, request: Request) -> list[Server]:
         """The first ready servers that pass a test, of so many that a walk over them is short."""
         walked = self._fleet.ready[:count]
