Tests of the operators' calls, bans and the handover on loopback

Found by them: one put back more than a cold start ago stayed out for a version that heard of it from the file, since the module compared its moment only. Mended, with a test of the module. Waiting for the running version's answer is __main__'s now, so that a node can be made in a process where the other one runs.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -44,7 +44,8 @@
     """A node that operators call. Loaded here, as the platform's older days have none."""
     from passpost.ops import node
 
-    return node.OperatedNode(config, node.folder())
+    folder = node.folder()
+    return node.OperatedNode(config, folder, node.take_over(config, folder))
 
 
 async def serve(path: str, operator: str | None = None) -> None:
--- a/passpost/ops/handover.py
+++ b/passpost/ops/handover.py
@@ -70,7 +70,12 @@
             self._connection.close()
 
 
-def take(path: Path) -> tuple[socket.socket, socket.socket] | None:
+Taken = tuple[
+    socket.socket, socket.socket
+]  # the listening socket, and the connection to whoever handed it over
+
+
+def take(path: Path) -> Taken | None:
     """The running process's listening socket and a connection to it; None if none runs or it does not answer.
 
     Waits for ASK_S at most; called before this process serves anybody.
--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -30,17 +30,16 @@
 class OperatedNode(Node):
     """A node with a listener for operators at `config.ops`, and its state under `folder` (None: in memory only).
 
-    Raises OSError if an address can't be had.
+    `taken`: what `take_over` got from a version that runs. Raises OSError if an address can't be had.
     """
 
     engine: CountingEngine
 
-    def __init__(self, config: Config, folder: Path | None) -> None:
+    def __init__(self, config: Config, folder: Path | None, taken: handover.Taken | None = None) -> None:
         assert config.ops is not None
-        stem = None if folder is None else folder / f"passpost-{re.sub(r'[^A-Za-z0-9_-]', '_', config.name)}"
+        stem = None if folder is None else _stem(config, folder)
         if stem is None:
             log.warning("no $TMPDIR: bans end with this process, and no later version can take over from it")
-        taken = handover.take(stem.with_suffix(".sock")) if stem is not None else None
         host = handover.Shared(taken[0] if taken else None)
         endpoint = Endpoint(config.ops, self.answer, HOST)  # first: what can't be had must not cost a caller
         try:
@@ -176,6 +175,15 @@
         self.engine.tally.reloads_failed += 1
 
 
+def _stem(config: Config, folder: Path) -> Path:
+    return folder / f"passpost-{re.sub(r'[^A-Za-z0-9_-]', '_', config.name)}"
+
+
+def take_over(config: Config, folder: Path | None) -> handover.Taken | None:
+    """The listening socket of the version that runs, if one does; waits for its answer."""
+    return handover.take(_stem(config, folder).with_suffix(".sock")) if folder is not None else None
+
+
 def folder() -> Path | None:
     """Where state may lie that a later version finds: `$TMPDIR`, if it is a folder."""
     path = os.environ.get("TMPDIR", "")
--- a/passpost/server.py
+++ b/passpost/server.py
@@ -402,7 +402,7 @@
         self.draining, self.closing = False, False  # not ready any more; each answer closes its connection
         self._ends, self._dealt_until = math.inf, math.inf
         self._max_open, self._at_once = max_open, host.accept_at_once
-        self._connections: dict[_Connection, None] = {}  # in order of coming: a set's would be chance
+        self.connections: dict[_Connection, None] = {}  # in order of coming: a set's would be chance
         self.open_ids: set[bytes] = set()
         self._accepting = False
         self.listener = self._socket = host.listen(address, BACKLOG)
@@ -424,7 +424,7 @@
 
         In a drain nobody else comes in, and who has no connection left has nowhere to go.
         """
-        return not self.draining and len(self._connections) > KEEP_SHARE * self._max_open
+        return not self.draining and len(self.connections) > KEEP_SHARE * self._max_open
 
     def start(self) -> None:
         """Begin to accept."""
@@ -433,7 +433,7 @@
 
     def forget(self, connection: _Connection) -> None:
         """A connection is over; another may come in for it."""
-        self._connections.pop(connection, None)
+        self.connections.pop(connection, None)
         if self._socket.fileno() >= 0:
             self._resume()
 
@@ -451,7 +451,7 @@
         self.draining, self._ends = True, self.monotonic() + within
         self._dealt_until = self.monotonic() + DEALT_AFTER_STOP_S
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-        while self._connections and self.time_left() > last_call:
+        while self.connections and self.time_left() > last_call:
             await asyncio.sleep(DRAIN_STEP_S)
         self.closing = True
         while not self._accept():
@@ -471,17 +471,17 @@
         self._ends, self.closing = self.monotonic() + within, True
         self._pause()
         self._socket.close()
-        while self._connections and self.time_left() > last_call:
+        while self.connections and self.time_left() > last_call:
             await asyncio.sleep(DRAIN_STEP_S)
         await self._finish()
 
     async def _finish(self) -> None:
         """Close what is idle, wait for what is open until it is over or the time is up, and drop the rest."""
-        while self._connections and (self.time_left() > 0 or any(c.is_busy() for c in self._connections)):
-            for connection in list(self._connections):
+        while self.connections and (self.time_left() > 0 or any(c.is_busy() for c in self.connections)):
+            for connection in list(self.connections):
                 connection.close_if_unused()
             await asyncio.sleep(DRAIN_STEP_S)
-        for connection in list(self._connections):  # half a request, or an answer that nobody reads
+        for connection in list(self.connections):  # half a request, or an answer that nobody reads
             connection.abort()
         if self._sweeper is not None:
             self._sweeper.cancel()
@@ -500,7 +500,7 @@
         while True:
             if self.time_left() <= 0:
                 self._ends = math.inf  # whoever comes all the same has the whole time
-            for connection in list(self._connections):
+            for connection in list(self.connections):
                 connection.close_if_unused()
             await asyncio.sleep(IDLE_LOOK_S)
 
@@ -520,14 +520,14 @@
         """How many more requests callers can send at once; no bound while they can open connections."""
         if self.closing or self.monotonic() < self._dealt_until:
             return math.inf
-        return sum(connection.is_free() for connection in self._connections)
+        return sum(connection.is_free() for connection in self.connections)
 
     def time_left(self) -> float:
         """How long a request may stay open, in seconds: after a drain the process may be killed."""
         return self._ends - self.monotonic()
 
     def _resume(self) -> None:
-        if not self._accepting and len(self._connections) < self._max_open:
+        if not self._accepting and len(self.connections) < self._max_open:
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
@@ -542,7 +542,7 @@
         At the limit the connection that is worth least makes room; if all are busy, the queue waits.
         """
         for _ in range(Host.accept_at_once if self.draining else self._at_once):
-            full = len(self._connections) >= self._max_open
+            full = len(self.connections) >= self._max_open
             spare = self._spare() if full else None
             if full and spare is None:
                 self._pause()
@@ -556,11 +556,11 @@
                 self._pause()  # the sweep tries again
                 return False
             if spare is not None:
-                self._connections.pop(spare, None)
+                self.connections.pop(spare, None)
                 spare.give_way()
             client.setblocking(False)
             connection = _Connection(self)
-            self._connections[connection] = None
+            self.connections[connection] = None
             task = asyncio.get_running_loop().create_task(self._adopt(client, connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -576,13 +576,13 @@
 
     def _spare(self) -> _Connection | None:
         """The connection that is worth least, and of those the oldest."""
-        ranked = [(worth, c.since, c) for c in self._connections if (worth := c.worth()) is not None]
+        ranked = [(worth, c.since, c) for c in self.connections if (worth := c.worth()) is not None]
         return min(ranked, key=lambda entry: entry[:2], default=(0, 0.0, None))[2]
 
     def _sweep(self) -> None:
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
         now = self.monotonic()
-        for connection in list(self._connections):
+        for connection in list(self.connections):
             connection.sweep(now)
         if self._socket.fileno() >= 0:
             self._resume()
--- /dev/null
+++ b/tests/ops/test_node.py
@@ -0,0 +1,305 @@
+"""A balancer that operators call, on loopback sockets; and two versions of it at once."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from passpost import config, server
+from passpost.ops import endpoint, handover
+from passpost.ops.node import OperatedNode, folder, take_over
+from tests.loopback import Balancer, FakeServer, Got, Writer, config_data, member, run, until
+
+
+async def call(node: OperatedNode, method: str, target: str) -> tuple[int, str]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", node.endpoint.port)
+    writer.write(f"{method} {target} HTTP/1.1\r\nHost: o\r\n\r\n".encode())
+    whole = (await reader.read()).decode()
+    writer.close()
+    head, _, body = whole.partition("\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+async def figures(node: OperatedNode) -> dict[str, int]:
+    status, body = await call(node, "GET", "/_vars")
+    assert status == 200
+    return {name: int(value) for name, value in (line.split("=") for line in body.splitlines())}
+
+
+async def operated(data: dict[str, Any], place: Path | None) -> OperatedNode:
+    read = config.read(data | {"ops": "127.0.0.1:0"})
+    taken = await asyncio.to_thread(take_over, read, place)  # elsewhere the two are processes of their own
+    return OperatedNode(read, place, taken)
+
+
+@asynccontextmanager
+async def served(place: Path | None, *upstreams: FakeServer) -> AsyncIterator[tuple[Balancer, OperatedNode]]:
+    for upstream in upstreams:
+        await upstream.start()
+    node = await operated(config_data([member(f"s{i}", u.host_port) for i, u in enumerate(upstreams)]), place)
+    balancer = Balancer(node)
+    try:
+        yield balancer, node
+    finally:
+        balancer.hang_up()
+        node.endpoint.close()
+        node.close()
+        for upstream in upstreams:
+            upstream.stop()
+
+
+def test_calls_are_answered_beside_callers_that_say_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path, FakeServer()) as (_, node):
+            silent = [
+                await asyncio.open_connection("127.0.0.1", node.endpoint.port)
+                for _ in range(endpoint.MAX_OPEN * 3)
+            ]
+            half = await asyncio.open_connection("127.0.0.1", node.endpoint.port)
+            half[1].write(b"GET /_ready HT")
+            assert await call(node, "GET", "/_ready") == (200, "ready\n")
+            assert (await call(node, "GET", "/nothing"))[0] == 404
+            assert (await call(node, "PUT", "/_ready"))[0] == 405
+            assert len(node.endpoint.open) <= endpoint.MAX_OPEN
+            for _, writer in [*silent, half]:
+                writer.close()
+
+    run(test())
+
+
+def test_a_call_may_come_in_pieces_and_one_that_is_none_is_told_so(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path, FakeServer()) as (_, node):
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.endpoint.port)
+            for byte in b"GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n":
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0)
+            assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+            for nonsense in (b"\x00\x01\x02\r\n\r\n", b"GET /_ready HTTP/1.1\r\nX: " + b"a" * 20_000):
+                reader, writer = await asyncio.open_connection("127.0.0.1", node.endpoint.port)
+                writer.write(nonsense)
+                with contextlib.suppress(ConnectionResetError):
+                    assert (await reader.read()).startswith(b"HTTP/1.1 400 ")
+            assert (await call(node, "GET", "/_ready"))[0] == 200
+
+    run(test())
+
+
+def test_an_upstream_that_is_taken_out_gets_nothing_until_it_is_put_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        first, second = FakeServer(), FakeServer()
+        async with served(tmp_path, first, second) as (balancer, node):
+            client = await balancer.connect()
+            assert (await call(node, "PUT", "/_upstreams/detach?id=s0"))[0] == 200
+            assert (await call(node, "PUT", "/_upstreams/detach?id=s9"))[0] == 404
+            for _ in range(10):
+                assert (await client.ask()) is not None
+            assert (len(first.got), len(second.got)) == (0, 10)
+            seen = await figures(node)
+            assert (seen["edge.upstreams_known"], seen["edge.upstreams_excluded"]) == (2, 1)
+            assert (await call(node, "PUT", "/_upstreams/detach?id=s1"))[0] == 200
+            assert (await call(node, "PUT", "/_upstreams/attach?id=s0"))[0] == 200
+            assert (await client.ask()) is not None
+            assert len(first.got) == 1
+
+    run(test())
+
+
+def test_the_figures_are_what_peers_saw(tmp_path: Path) -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def reply(request: Got, writer: Writer) -> None:
+            if "hold" in request.line:
+                await release.wait()
+            status = b"500 No" if "bad" in request.line else b"200 OK"
+            writer.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
+
+        upstream = FakeServer(reply)
+        async with served(tmp_path, upstream) as (balancer, node):
+            client = await balancer.connect()
+            for target in ("/read", "/read", "/pay?bad"):
+                await client.ask(target, method="POST" if "pay" in target else "GET")
+            held = await balancer.connect()
+            held.send("/read?hold")
+            await until(lambda: len(upstream.got) == 4)
+            seen = await figures(node)
+            assert seen["edge.served.read"] == 2 and seen["edge.failed.pay"] == 1
+            assert seen["edge.attempts.read"] == 3 and seen["edge.attempts.pay"] == 1
+            assert seen["edge.in_flight"] == 1
+            held.writer.close()  # it has gone
+            await until(lambda: node.engine.tally.open == 0)
+            release.set()
+
+    run(test())
+
+
+def test_emptied_by_hand_it_keeps_nobody_and_comes_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server, "EMPTY_AFTER_S", 0.3)
+
+    async def ready(balancer: Balancer) -> int:
+        client = await balancer.connect()
+        client.send("/health/ready", X_Txn=None)
+        answer = await client.answer()
+        client.writer.close()
+        assert answer is not None
+        return answer.status
+
+    async def test() -> None:
+        async with served(tmp_path, FakeServer()) as (balancer, node):
+            client = await balancer.connect()
+            assert (await client.ask()) is not None
+            for _ in range(2):
+                assert (await call(node, "PUT", "/_lameduck/on"))[0] == 200
+            assert await ready(balancer) == 503
+            assert (await call(node, "GET", "/_ready"))[0] == 503
+            answer = await client.ask()  # a kept connection is of use for a while
+            assert answer is not None and answer.status == 200
+            assert await client.reader.read() == b""  # and then it ends, though nothing was asked on it
+            await until(lambda: not node.server.connections)
+            late = await balancer.connect()
+            answer = await late.ask()  # whoever comes all the same is served, once
+            assert answer is not None and answer.status == 200 and not answer.reusable
+            for _ in range(2):
+                assert (await call(node, "PUT", "/_lameduck/off"))[0] == 200
+            assert await ready(balancer) == 200
+            assert (await (await balancer.connect()).ask()) is not None
+
+    run(test())
+
+
+def test_a_new_version_takes_the_socket_and_the_bans_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        first, second = FakeServer(), FakeServer()
+        async with served(tmp_path, first, second) as (balancer, old):
+            assert (await call(old, "PUT", "/_upstreams/detach?id=s0"))[0] == 200
+            kept = await balancer.connect()
+            assert (await kept.ask()) is not None
+            new = await operated(
+                config_data([member("s0", first.host_port), member("s1", second.host_port)]), tmp_path
+            )
+            assert new.server.port == old.server.port
+            await until(lambda: bool(old._links))
+            assert (await call(new, "GET", "/_ready"))[0] == 200
+            # A call to either is heard by both.
+            assert (await call(old, "PUT", "/_upstreams/attach?id=s0"))[0] == 200
+            assert (await call(old, "PUT", "/_upstreams/detach?id=s1"))[0] == 200
+            await until(lambda: new._told.out == {"s1"})
+            stopped = asyncio.ensure_future(old.stop())
+            answer = await kept.ask()  # what is open stays of use, and ends with its answer
+            assert answer is not None and answer.status == 200 and not answer.reusable
+            for _ in range(30):
+                client = await Balancer(new).connect()
+                answer = await client.ask()
+                assert answer is not None and answer.status == 200
+                client.writer.close()
+            await stopped
+            await until(lambda: not new._links)
+            assert new.server._max_open > old.server._max_open  # it has all descriptors again
+            assert len(first.got) >= 30
+            new.endpoint.close()
+            new.server.close()
+            new.close()
+
+    run(test())
+
+
+def test_a_third_version_takes_over_from_the_second(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with served(tmp_path, upstream) as (_, node):
+            data = config_data([member("s0", upstream.host_port)])
+            for _ in range(2):
+                new = await operated(data, tmp_path)
+                await node.stop()
+                await until(lambda new=new: not new._links)  # type: ignore[misc]
+                node = new
+                client = await Balancer(node).connect()
+                assert (await client.ask()) is not None
+                client.writer.close()
+            await node.stop()
+            assert sorted(p.suffix for p in tmp_path.iterdir()) == []
+
+    run(test())
+
+
+def test_what_is_left_of_a_dead_version_does_not_keep_a_new_one_from_serving(tmp_path: Path) -> None:
+    dead = socket.socket(socket.AF_UNIX)
+    dead.bind(str(tmp_path / "passpost-n0.sock"))
+    dead.close()
+    (tmp_path / "passpost-n0.bans").write_text(json.dumps({"out": ["s0"], "back": {}}))
+
+    async def test() -> None:
+        first, second = FakeServer(), FakeServer()
+        async with served(tmp_path, first, second) as (balancer, _):
+            assert (await (await balancer.connect()).ask()) is not None
+            assert (len(first.got), len(second.got)) == (0, 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("answer", [b"", b"no\n", b"passpost 9\n"])
+def test_an_answer_that_hands_nothing_over_is_let_be(tmp_path: Path, answer: bytes) -> None:
+    listener = socket.socket(socket.AF_UNIX)
+    listener.bind(str(tmp_path / "x.sock"))
+    listener.listen()
+
+    async def test() -> None:
+        taking = asyncio.get_running_loop().run_in_executor(None, handover.take, tmp_path / "x.sock")
+        connection, _ = await asyncio.get_running_loop().run_in_executor(None, listener.accept)
+        connection.send(answer)
+        connection.close()
+        assert await taking is None
+
+    run(test())
+    listener.close()
+
+
+def test_a_folder_with_a_long_name_will_do(tmp_path: Path) -> None:
+    long = tmp_path / ("a" * 120)
+    long.mkdir()
+
+    async def test() -> None:
+        async with served(long, FakeServer()) as (_, old):
+            new = await operated(config_data([]), long)
+            assert new.server.port == old.server.port
+            new.endpoint.close()
+            new.server.close()
+            new.close()
+
+    run(test())
+
+
+def test_without_a_folder_it_serves_and_says_so(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with served(None, FakeServer()) as (balancer, node):
+            assert (await call(node, "PUT", "/_upstreams/detach?id=s0"))[0] == 200
+            assert (await (await balancer.connect()).ask()) is not None
+
+    run(test())
+    assert "TMPDIR" in caplog.text
+
+
+def test_the_folder_is_tmpdir(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert folder() == tmp_path
+    for none in ("", str(tmp_path / "none")):
+        monkeypatch.setenv("TMPDIR", none)
+        assert folder() is None
+
+
+def test_the_environment_may_name_the_address(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert config.read(config_data([])).ops is None
+    monkeypatch.setenv("EDGE_OPS", "127.0.0.1:12000")
+    assert config.read(config_data([])).ops == ("127.0.0.1", 12000)
+    assert config.read(config_data([]) | {"ops": "127.0.0.1:12001"}).ops == ("127.0.0.1", 12001)
--- a/tests/test_detached.py
+++ b/tests/test_detached.py
@@ -83,6 +83,13 @@
     assert later.count("s1") <= 1  # one call shows it; it is not pushed over
 
 
+def test_one_put_back_long_ago_is_in_use_and_warm() -> None:
+    desk = Desk(2)
+    desk.tell(Detached("s0"))
+    desk.tell(Attached("s0", 0.0))
+    assert picked(desk) == {"s0", "s1"}
+
+
 def test_one_put_back_that_fails_is_tried_now_and_then_only() -> None:
     desk = Desk(12, cold_ms=20_000, cold_from=0.15)
     picked(desk)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -337,7 +337,7 @@
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             first = await b.connect()
-            await until(lambda: bool(b.node.server._connections))
+            await until(lambda: bool(b.node.server.connections))
             drained = asyncio.get_running_loop().create_task(b.node.server.drain(100.0))
             for client in (first, first, await b.connect()):
                 answer = await client.ask()
@@ -358,7 +358,7 @@
         upstreams = [FakeServer(silent) for _ in range(4)]
         async with balancer(*upstreams) as b:
             callers = [await b.connect() for _ in range(8)]
-            await until(lambda: len(b.node.server._connections) == 8)
+            await until(lambda: len(b.node.server.connections) == 8)
             drained = asyncio.get_running_loop().create_task(b.node.server.drain(100.0))
             await until(lambda: b.node.server.draining)
             for caller in callers[:6]:
@@ -482,7 +482,7 @@
             fourth = await b.connect()  # in the queue: both others are busy
             fourth.send()
             await until(lambda: not b.node.server._accepting)
-            assert len(b.node.server._connections) == 2
+            assert len(b.node.server.connections) == 2
             second.writer.close()
             await until(lambda: len(upstream.got) == 4)
 
@@ -502,8 +502,8 @@
             assert await used.ask() is not None
             useless = await b.connect()
             useless.writer.write(sent)
-            await until(lambda: sum(c._reading for c in b.node.server._connections) == bool(sent))
-            await until(lambda: len(b.node.server._connections) == 2)
+            await until(lambda: sum(c._reading for c in b.node.server.connections) == bool(sent))
+            await until(lambda: len(b.node.server.connections) == 2)
             another = await b.connect()
             assert await useless.answer() is None
             for client in (used, another):
@@ -521,8 +521,8 @@
             client = await b.connect()
             one = b"GET /health/ready HTTP/1.1\r\n\r\n"
             sent = 0
-            await until(lambda: bool(b.node.server._connections))
-            (connection,) = b.node.server._connections
+            await until(lambda: bool(b.node.server.connections))
+            (connection,) = b.node.server.connections
             while not (connection._clogged and connection._waiting):
                 client.writer.write(one * 1_000)
                 sent += 1_000
@@ -544,8 +544,8 @@
     async def test() -> None:
         async with balancer(FakeServer()) as b:
             client = await b.connect()
-            await until(lambda: bool(b.node.server._connections))
-            (connection,) = b.node.server._connections
+            await until(lambda: bool(b.node.server.connections))
+            (connection,) = b.node.server.connections
             connection._write(b"x" * 64 * 1024 * 1024)  # more than the kernel's buffers take
             if draining:
                 await b.node.server.drain(0.0)
@@ -553,7 +553,7 @@
                 client.send()  # ahead: it waits until the answer before it has been read
                 await until(lambda: bool(connection._waiting))
                 monkeypatch.setattr(server, "UNREAD_S", 0.0)
-            await until(lambda: not b.node.server._connections)
+            await until(lambda: not b.node.server.connections)
             assert not client.writer.is_closing()  # it was we who ended it
 
     run(test())
@@ -565,7 +565,7 @@
         async with balancer(FakeServer()) as b:
             client = await b.connect()
             assert await client.ask() is not None
-            (connection,) = b.node.server._connections
+            (connection,) = b.node.server.connections
             client.writer.write(b"\r\n")
             await until(lambda: connection._head_size == 2)
             assert connection.is_idle()
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -136,11 +136,12 @@
 
     def _attached(self, event: face.Attached, now: float) -> None:
         """Take a server back as one that has just started: until the list tells, nobody knows better."""
+        server = self._servers.get(event.server)
+        was_out = event.server in self._detached
         self._detached.discard(event.server)
         self._cold.started(event.at_ms)
-        server = self._servers.get(event.server)
-        if server is not None and server.back_at < event.at_ms:
-            server.back_at = event.at_ms
+        if server is not None and (was_out or server.back_at < event.at_ms):
+            server.back_at = max(server.back_at, event.at_ms)
             self._is_fit(server, False)
             server.forget(now)
             self._is_fit(server, server.listed)
