The callers' side in a package: one file for a connection, one for the listening socket

Need: server.py held two jobs, and long bodies come to one of them. Change: callers/connection.py and callers/listener.py, with no change of behaviour.

--- /dev/null
+++ b/passpost/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: their connections and the socket that they come in by."""
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -5,11 +5,11 @@
 import logging
 from dataclasses import fields
 
+from passpost.callers.listener import Server
 from passpost.config import Config
 from passpost.discovery import Discovery
 from passpost.engine import Engine
 from passpost.host import HOST, Host
-from passpost.server import Server
 from passpost.upstream import Upstreams
 from umberworks.rules import Balancer
 
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from passpost.callers.listener import Server
 from passpost.engine import Engine
 from passpost.host import HOST, Address, Host
 from passpost.http1 import Answer
@@ -26,7 +27,6 @@
 from passpost.operator.probe import SERVER
 from passpost.operator.reader import Problem, UnreadableError, load
 from passpost.operator.settings import settings
-from passpost.server import Server
 from passpost.upstream import Upstreams
 from umberworks.interface import ListKind, ListUpdate, Member, Outcome, Readiness
 from umberworks.rules import Balancer
--- a/passpost/workers/supervisor.py
+++ b/passpost/workers/supervisor.py
@@ -18,13 +18,13 @@
 
 import msgspec
 
+from passpost.callers.listener import BACKLOG
 from passpost.host import HOST, Address, Host, Listener
 from passpost.operator.checks import connections, split
 from passpost.operator.diff import difference
 from passpost.operator.membership import written
 from passpost.operator.model import File
 from passpost.operator.sidecar import END_S, REFUSALS, raise_descriptors, read, stays
-from passpost.server import BACKLOG
 from passpost.workers.plan import Action, End, Plan, Start, Tell
 
 log = logging.getLogger("passpost")
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -92,10 +92,10 @@
 def test_a_broken_rule_is_status_1_with_its_story(
     night: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    from passpost import server
+    from passpost.callers import connection
 
-    monkeypatch.setattr(server._Connection, "refuse", lambda self, away: self.abort())
-    monkeypatch.setattr(server._Connection, "serve", lambda self, answer: self.abort())
+    monkeypatch.setattr(connection.Connection, "refuse", lambda self, away: self.abort())
+    monkeypatch.setattr(connection.Connection, "serve", lambda self, answer: self.abort())
     assert command.run(["rehearse", night]) == 1
     out = capsys.readouterr().out
     assert "no request is lost: broken" in out and "closed with no whole answer" in out
@@ -111,9 +111,9 @@
 def test_exploring_writes_a_script_that_replays_what_it_found(
     night: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    from passpost import server
+    from passpost.callers import connection
 
-    monkeypatch.setattr(server._Connection, "serve", lambda self, answer: self.abort())
+    monkeypatch.setattr(connection.Connection, "serve", lambda self, answer: self.abort())
     out = tmp_path / "found.toml"
     assert command.run(["explore", night, "--seeds", "3", "--out", str(out)]) == 1
     assert "closed with no whole answer" in capsys.readouterr().out
@@ -130,13 +130,15 @@
     assert [m for m in loaded if m.startswith(("passpost", "umberworks"))] == [
         "passpost",
         "passpost.__main__",
+        "passpost.callers",
+        "passpost.callers.connection",
+        "passpost.callers.listener",
         "passpost.config",
         "passpost.discovery",
         "passpost.engine",
         "passpost.host",
         "passpost.http1",
         "passpost.node",
-        "passpost.server",
         "passpost.upstream",
         "passpost.validation",
         "umberworks",
--- a/tests/ops/test_node.py
+++ b/tests/ops/test_node.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from passpost import config, server
+from passpost import config
+from passpost.callers import listener
 from passpost.ops import endpoint, handover
 from passpost.ops.node import OperatedNode, folder, take_over
 from tests.loopback import Balancer, FakeServer, Got, Writer, config_data, member, run, until
@@ -145,7 +146,7 @@
 def test_emptied_by_hand_it_keeps_nobody_and_comes_back(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server, "EMPTY_AFTER_S", 0.3)
+    monkeypatch.setattr(listener, "EMPTY_AFTER_S", 0.3)
 
     async def ready(balancer: Balancer) -> int:
         client = await balancer.connect()
--- a/tests/rehearsal/test_nights.py
+++ b/tests/rehearsal/test_nights.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from passpost import server
+from passpost.callers import connection, listener
 from passpost.rehearsal import explore as exploring
 from passpost.rehearsal import model
 from passpost.rehearsal.model import Clients, Contract, Network, Script
@@ -124,7 +124,7 @@
 
 
 def test_one_that_drops_a_request_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
-    finish, count = server._Connection._finish, 0
+    finish, count = connection.Connection._finish, 0
 
     def drop(self: Any, status: int, *more: Any) -> None:
         nonlocal count
@@ -135,19 +135,19 @@
         else:
             finish(self, status, *more)
 
-    monkeypatch.setattr(server._Connection, "_finish", drop)
+    monkeypatch.setattr(connection.Connection, "_finish", drop)
     night = play(script(), 1)
     assert rules(night) == {"lost"}
     assert "closed with no whole answer" in night.breaks[0].text
 
 
 def test_one_that_makes_up_answers_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
-    serve = server._Connection.serve
+    serve = connection.Connection.serve
 
     def other(self: Any, answer: Any) -> None:
         serve(self, type(answer)(200, answer.headers, b"made up", answer.reusable))
 
-    monkeypatch.setattr(server._Connection, "serve", other)
+    monkeypatch.setattr(connection.Connection, "serve", other)
     assert rules(play(script(), 1)) == {"lost"}
 
 
@@ -155,7 +155,7 @@
     def fail(self: Any, *_: Any) -> None:
         raise ZeroDivisionError("on purpose")
 
-    monkeypatch.setattr(server._Connection, "_take", fail)
+    monkeypatch.setattr(connection.Connection, "_take", fail)
     night = play(script(), 1)
     assert any("on purpose" in fault for fault in night.faults) and not night.is_good()
 
@@ -206,7 +206,7 @@
 
 
 def test_balancers_that_never_get_ready_end_the_night(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server.Server, "is_ready", lambda self: False)
+    monkeypatch.setattr(listener.Server, "is_ready", lambda self: False)
     night = play(script(), 1)
     assert night.faults == ["the balancers did not get ready"]
 
