--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import IO, Any
