--- a/passpost/operator/callers.py
+++ b/passpost/operator/callers.py
@@ -14,7 +14,7 @@
 from passpost.http1 import HOP_BY_HOP, Headers
 from passpost.operator.model import Application, File
 from passpost.operator.routes import Routes
-from passpost.validation import NUMBER, SINGLE, TOKEN, BadRequestError, Call, check_message
+from passpost.validation import NUMBER, SINGLE, TOKEN, BadRequestError, Call, check_message, origin_form
 
 
 class PlainCallers:
@@ -44,6 +44,7 @@
 
     def __call__(self, method: bytes, target: bytes, version: str, headers: Headers) -> Call | None:
         """The call that a head stands for, None for the question of health; or BadRequestError."""
+        target = origin_form(target)
         fields, passed_on = check_message(
             target, version, headers, self._max_body, self._single, self._dropped
         )
--- a/passpost/validation.py
+++ b/passpost/validation.py
@@ -18,6 +18,7 @@
 _VALUE = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]*")
 TOKEN = re.compile(rb"[\x21-\x7e]+")  # for ids and keys: upstreams compare them
 _TARGET = re.compile(rb"/[\x21-\x7e]*")
+_ABSOLUTE = re.compile(rb"(?i:https?)://[^/?#@\s]+")
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 NUMBER = re.compile(rb"[-+]?([0-9]+\.?[0-9]*|\.[0-9]+)([eE][-+]?[0-9]+)?")
 
@@ -44,6 +45,15 @@
     deadline_header: bytes = b"X-Remaining"
 
 
+def origin_form(target: bytes) -> bytes:
+    """A target without the scheme and host that a caller may write before it (RFC 9112, 3.2.2)."""
+    match = _ABSOLUTE.match(target) if target[:1] != b"/" else None
+    if match is None:
+        return target
+    rest = target[match.end() :]
+    return rest if rest[:1] == b"/" else b"/" + rest
+
+
 def check_message(
     target: bytes,
     version: str,
@@ -91,6 +101,7 @@
     method: bytes, target: bytes, version: str, headers: Headers, classes: Mapping[str, RequestClass]
 ) -> Call | None:
     """The call that a head stands for, None for the question whether we are ready; or BadRequestError."""
+    target = origin_form(target)
     fields, passed_on = check_message(target, version, headers, MAX_LONG, _PLATFORM, _DROPPED)
     length, coding = fields.get(b"content-length"), fields.get(b"transfer-encoding")
     if method not in (b"GET", b"POST"):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -558,6 +558,25 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    ("target", "wanted"),
+    [
+        ("http://backend.local/read?key=1", "/read?key=1"),
+        ("HTTP://backend.local:7070/read", "/read"),
+        ("/read?of=http://x/y", "/read?of=http://x/y"),
+    ],
+)
+def test_a_target_may_be_in_absolute_form(target: str, wanted: str) -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with balancer(upstream) as b:
+            answer = await (await b.connect()).ask(target)
+            assert answer is not None and answer.status == 200
+            assert upstream.got[0].line == f"GET {wanted} HTTP/1.1"
+
+    run(test())
+
+
 def test_a_line_end_behind_a_request_leaves_its_connection_idle() -> None:
     # Some clients send one; a connection that never counted as idle could not be closed, nor a drain end.
     async def test() -> None:
