Long lists of upstreams are read and applied in slices

Change: passpost/lists.py, loaded with the first list of 16 KB, reads entry by entry and tells what has changed, 100 members an event, new ones first; the routes of only those change. A list that can't be used changes nothing, as before.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -20,6 +20,9 @@
 WATCH_MS = 10_000  # how long a watch may wait: a silent discovery is noticed this late, plus the time-out
 CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
 MAX_LIST = 4 * 1024 * 1024
+LONG_LIST = 16 * 1024  # bytes of a list from which it is read in slices, some 100 members
+
+MANY = 100  # members, of the list that comes or the one that stands, from which it is applied in slices
 
 _PATH = "/registry/instances"
 _PHASES = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
@@ -97,6 +100,9 @@
             self._stream = None
 
 
+Tell = Callable[[ListUpdate, dict[str, Address]], None]
+
+
 class Discovery:
     """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does.
 
@@ -111,13 +117,17 @@
         self._known = known or Listing(0, False, (), {})
         self._revision = known.revision if known is not None else None  # None: asks for the whole list
         self._addresses: dict[str, Address] = {}
-        self.members: dict[str, bool] = {}  # the list as it stands: whether each is ready
-        self._tell: Callable[[ListUpdate, dict[str, Address]], None] = lambda update, addresses: None
+        self.members: dict[str, Member] = {}  # the list as it stands
+        self._tell: Tell = lambda update, addresses: None
+        self._tell_part: Tell | None = None
         self._task: asyncio.Task[None] | None = None
 
-    def start(self, tell: Callable[[ListUpdate, dict[str, Address]], None]) -> None:
-        """Tell the saved list; what comes later goes to the same place."""
-        self._tell = tell
+    def start(self, tell: Tell, tell_part: Tell | None = None) -> None:
+        """Tell the saved list; what comes later goes to the same place, with the addresses of all.
+
+        A slice of a long list goes to `tell_part`, if there is one, with the addresses of its own members only.
+        """
+        self._tell, self._tell_part = tell, tell_part
         self._apply(self._known, ListKind.SAVED)
         if self._pushed:
             self.subscribe()
@@ -149,7 +159,9 @@
             while True:
                 listing = await self._call(line, wait)
                 first = wait == 0 and not self._pushed
-                if first or listing.complete or listing.members:
+                if self._tell_part is not None and max(len(listing.members), len(self.members)) >= MANY:
+                    await self._apply_in_slices(listing, self._tell_part)
+                elif first or listing.complete or listing.members:
                     kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
                     self._apply(listing, kind)
                 self._revision, self._silent = listing.revision, False
@@ -183,17 +195,48 @@
         left = {m.server for m in listing.members if m.readiness is Readiness.GONE}
         self._addresses = {k: a for k, a in (kept | listing.addresses).items() if k not in left}
         kept_members = {} if listing.complete else self.members
-        told = {m.server: m.readiness is Readiness.READY for m in listing.members}
-        self.members = {k: ready for k, ready in (kept_members | told).items() if k not in left}
+        told = {m.server: m for m in listing.members}
+        self.members = {k: m for k, m in (kept_members | told).items() if k not in left}
         self._tell(ListUpdate(kind, listing.members), self._addresses)
 
+    async def _apply_in_slices(self, listing: Listing, tell: Tell) -> None:
+        """Apply a long list as what it changes; whoever asks meanwhile has the part that is applied."""
+        from passpost import lists
+
+        whole, told = listing.complete, False
+        slices = lists.changes(self.members, self._addresses, listing) if whole else lists.cut(listing)
+        for members, addresses in slices:
+            for member in members:
+                if member.readiness is Readiness.GONE:
+                    self.members.pop(member.server, None)
+                    self._addresses.pop(member.server, None)
+                else:
+                    self.members[member.server] = member
+                    self._addresses[member.server] = addresses[member.server]
+            if members or not told:
+                tell(ListUpdate(ListKind.CHANGES, members), addresses)
+                told = True
+            await asyncio.sleep(0)
+
+    async def _read(self, body: bytes) -> Listing:
+        """The answer's listing; a long one in slices."""
+        if len(body) < LONG_LIST:
+            return parse_listing(json.loads(body))
+        from passpost import lists
+
+        reading = lists.Reading()
+        for _ in lists.read(body.decode(), reading):
+            await asyncio.sleep(0)
+        assert reading.listing is not None
+        return reading.listing
+
     async def _call(self, line: _Line, wait_ms: int) -> Listing:
         target = _PATH if self._revision is None else f"{_PATH}?after={self._revision}&wait_ms={wait_ms}"
         async with asyncio.timeout(wait_ms / 1000 + CALL_TIMEOUT):
             answer = await line.get(target)
         if answer.status != 200:
             raise BadAnswerError(f"status {answer.status}")
-        listing = parse_listing(json.loads(answer.body))
+        listing = await self._read(answer.body)
         if not listing.complete and (self._revision is None or listing.revision < self._revision):
             raise ValueError(f"changes up to {listing.revision} do not follow on {self._revision}")
         return listing
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -102,6 +102,14 @@
         )
         self._post(update)
 
+    def listed_part(self, update: face.ListUpdate, addresses: dict[str, Address]) -> None:
+        """Changes of the list, with the addresses of those that have changed only."""
+        self._upstreams.reroute([m.server for m in update.members], addresses)
+        self.has_upstreams = self.has_upstreams or any(
+            m.readiness is face.Readiness.READY for m in update.members
+        )
+        self._post(update)
+
     def arrived(
         self,
         class_name: str,
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -50,7 +50,7 @@
         )
         self.server = Server(self.engine, config.listen, int(config.sockets * CALLERS_SHARE), host)
         self.upstreams.start()
-        self.discovery.start(self.engine.listed)
+        self.discovery.start(self.engine.listed, self.engine.listed_part)
         self.server.start()
 
     def reload(self, config: Config) -> None:
--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -19,7 +19,7 @@
 from passpost.ops.endpoint import Endpoint
 from passpost.ops.model import AskFigures, AskReady, Bans, Reply, Request, SetBan, SetDrain
 from passpost.ops.store import Store
-from umberworks.interface import Attached, Detached
+from umberworks.interface import Attached, Detached, Readiness
 
 log = logging.getLogger("passpost.ops")
 
@@ -163,7 +163,10 @@
 
     def _excluded(self) -> int:
         members = self.discovery.members
-        return len(members.keys() & self._told.out | {n for n, ready in members.items() if not ready})
+        return len(
+            members.keys() & self._told.out
+            | {n for n, m in members.items() if m.readiness is not Readiness.READY}
+        )
 
     def reload(self, config: Config) -> None:
         """As a node's; counted."""
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
 
@@ -365,13 +365,17 @@
 
     def route(self, addresses: dict[str, Address]) -> None:
         """Take over a list; upstreams that left it or moved lose their idle connections."""
-        for name, upstream in list(self._upstreams.items()):
-            if addresses.get(name) != upstream.address:
+        self.reroute([*self._upstreams, *(n for n in addresses if n not in self._upstreams)], addresses)
+
+    def reroute(self, names: Iterable[str], addresses: dict[str, Address]) -> None:
+        """Take over the changes of some; those that have no address any more have left."""
+        for name in names:
+            upstream, address = self._upstreams.get(name), addresses.get(name)
+            if upstream is not None and address != upstream.address:
                 del self._upstreams[name]  # attempts that are out go on
                 for connection in list(upstream.idle):
                     connection.drop()
-        for name, address in addresses.items():
-            if name not in self._upstreams:
+            if address is not None and name not in self._upstreams:
                 self._upstreams[name] = _Upstream(name, address)
 
     def let_go(self, server: str) -> None:
