--- a/tests/ops/test_node.py
+++ b/tests/ops/test_node.py
@@ -304,3 +304,63 @@
     monkeypatch.setenv("EDGE_OPS", "127.0.0.1:12000")
     assert config.read(config_data([])).ops == ("127.0.0.1", 12000)
     assert config.read(config_data([]) | {"ops": "127.0.0.1:12001"}).ops == ("127.0.0.1", 12001)
+
+
+def test_a_new_version_that_dies_leaves_the_old_one_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = FakeServer()
+        async with served(tmp_path, upstream) as (balancer, old):
+            callers, upstreams = old.server._max_open, old.upstreams._max_open
+            new = await operated(config_data([member("s0", upstream.host_port)]), tmp_path)
+            await until(lambda: old._successors == 1)
+            assert old.server._max_open < callers and old.upstreams._max_open < upstreams
+            new.endpoint.close()
+            new.server._pause()
+            new.server.close()
+            new.close()
+            for link in new._links:
+                link.close()  # as the end of its process does
+            await until(lambda: old._successors == 0 and not old._links)
+            assert (old.server._max_open, old.upstreams._max_open) == (callers, upstreams)
+            answer = await (await balancer.connect()).ask()
+            assert answer is not None and answer.status == 200
+            again = await operated(config_data([member("s0", upstream.host_port)]), tmp_path)
+            assert again.server.port == old.server.port
+            await old.stop()
+            assert (await (await Balancer(again).connect()).ask()) is not None
+            again.endpoint.close()
+            again.server._pause()
+            again.server.close()
+            again.close()
+
+    run(test())
+
+
+def test_a_balancer_being_emptied_ends_on_sigterm_as_any(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(listener, "EMPTY_AFTER_S", 0.0)
+    monkeypatch.setattr(listener, "ACCEPT_AFTER_STOP_S", 0.0)
+
+    async def test() -> None:
+        async with served(tmp_path, FakeServer()) as (balancer, node):
+            client = await balancer.connect()
+            assert (await client.ask()) is not None
+            assert (await call(node, "PUT", "/_lameduck/on"))[0] == 200
+            assert await client.reader.read() == b""
+            await node.stop()
+            assert node.server._emptier is None
+
+    run(test())
+
+
+def test_reloads_are_counted(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path, FakeServer()) as (_, node):
+            node.reload(node._config)
+            node.reload_failed()
+            node.reload_failed()
+            seen = await figures(node)
+            assert (seen["edge.reloads_ok"], seen["edge.reloads_failed"]) == (1, 2)
+
+    run(test())
