An old version whose successor died can be taken over from again; long bodies nobody asked for are dropped

A health question was let have a body of 40 MB in memory; a long body under an id that is open stayed unread and in the way of its 409. Tests of each.

--- a/passpost/callers/connection.py
+++ b/passpost/callers/connection.py
@@ -205,7 +205,7 @@
         """A piece of the body."""
         upload = self._upload.upload if self._upload is not None else None
         seen = len(self._body) if upload is None else upload.seen
-        if seen + len(data) > self._server.max_body:
+        if seen + len(data) > (self._server.max_body if self._call is not None else LONG):
             self._bad = self._bad or 413
         elif self._bad:
             return
@@ -306,6 +306,7 @@
         if call.txn in self._server.open_ids:  # an upstream would take the second for a copy of the first
             self._current, self._bad = None, 409
             self._waiting.clear()
+            self._abandon_upload()
             return
         self._txn, self._useful = call.txn, True
         self._server.open_ids.add(call.txn)
--- a/passpost/ops/handover.py
+++ b/passpost/ops/handover.py
@@ -105,7 +105,7 @@
     """Waits for a new version and hands it the listening socket."""
 
     def __init__(self, path: Path, listener: Listener, linked: Callable[[socket.socket], None]) -> None:
-        self._path, self._listener, self._linked = path, listener, linked
+        self.path, self._listener, self._linked = path, listener, linked
         self._socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         with contextlib.suppress(FileNotFoundError):
             os.unlink(path)  # of one that has ended, or of the one that we took over from
@@ -136,8 +136,8 @@
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
         with contextlib.suppress(OSError):
-            if os.stat(self._path).st_ino == self._inode:  # else a new version's
-                os.unlink(self._path)
+            if os.stat(self.path).st_ino == self._inode:  # else a new version's
+                os.unlink(self.path)
 
 
 def _short(path: Path) -> str:
--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -78,6 +78,9 @@
             self._successors -= successor
             log.info("the %s version has ended", "new" if successor else "old")
             self._share()
+            if successor and self._offer is not None:  # it had put its own offer in place of ours
+                self._offer.close()
+                self._make_offer(self._offer.path)
 
         link = handover.Link(connection, ended)
         self._links.append(link)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -412,6 +412,44 @@
     run(test())
 
 
+def test_a_question_of_health_with_a_long_body_is_refused_and_kept_nowhere() -> None:
+    async def script(reader: Reader, writer: Writer, head: bytes) -> None:
+        raise AssertionError("nothing of it goes on")
+
+    async def test() -> None:
+        async with balanced(Taker(script)) as b:
+            client = await b.connect()
+            client.writer.write(b"GET /health/ready HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % MB + b"x" * MB)
+            assert (await client.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 413 ")
+
+    run(test())
+
+
+def test_a_long_body_under_the_id_of_an_open_request_is_refused_and_read_away() -> None:
+    go_on = asyncio.Event()
+
+    async def script(reader: Reader, writer: Writer, head: bytes) -> None:
+        await read_body(reader, head)
+        await go_on.wait()
+        writer.write(OK)
+
+    async def test() -> None:
+        taker = Taker(script)
+        async with balanced(taker) as b:
+            first, second = await b.connect(), await b.connect()
+            raw = head_of(first, MB)
+            first.writer.write(raw + b"x" * MB)
+            await until(lambda: len(taker.heads) == 1)
+            second.writer.write(raw + b"x" * MB)
+            assert (await second.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 409 ")
+            await second.writer.drain()  # what still came was taken, not left in the way of the answer
+            go_on.set()
+            assert (await answer_of(first.reader))[1] == b"ok"
+            assert len(taker.heads) == 1
+
+    run(test())
+
+
 class Held:
     def __init__(self) -> None:
         self.said: list[bool] = []
