--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from passpost import upstream
 from passpost.callers import connection
 from passpost.http1 import MAX_LONG
 from passpost.streams import AHEAD, LONG, Upload
@@ -333,7 +334,8 @@
 
 
 @pytest.mark.parametrize("after", ["head", "answer"])
-def test_a_caller_that_goes_ends_the_attempt(after: str) -> None:
+def test_a_caller_that_goes_ends_the_attempt(monkeypatch: pytest.MonkeyPatch, after: str) -> None:
+    monkeypatch.setattr(upstream, "STALL_S", 1e9)  # nobody else ends it
     ended = asyncio.Event()
 
     async def script(reader: Reader, writer: Writer, head: bytes) -> None:
