--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -104,6 +104,7 @@
         """Finish what was taken, the quick way if a new version takes what comes; then close everything."""
         if self._offer is not None:
             self._offer.close()
+            self._offer = None  # whoever comes now has nothing to take over
         try:
             if self._successors:
                 await self.server.hand_over(self.within())
