A long list that is back unchanged is told; bans hold where no lock can be had

Cause: an empty change of a long list made no slice, so that the module never heard that the list was back and asked ever more seldom; and a lock that failed lost the ban that it was to guard, with a 500. Tests of both, which fail without the change.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -159,9 +159,11 @@
             while True:
                 listing = await self._call(line, wait)
                 first = wait == 0 and not self._pushed
-                if self._tell_part is not None and max(len(listing.members), len(self.members)) >= MANY:
+                if not (first or listing.complete or listing.members):
+                    pass  # nothing has changed
+                elif self._tell_part is not None and max(len(listing.members), len(self.members)) >= MANY:
                     await self._apply_in_slices(listing, self._tell_part)
-                elif first or listing.complete or listing.members:
+                else:
                     kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
                     self._apply(listing, kind)
                 self._revision, self._silent = listing.revision, False
--- a/passpost/lists.py
+++ b/passpost/lists.py
@@ -134,8 +134,8 @@
 
 
 def cut(new: Listing) -> Iterator[tuple[tuple[Member, ...], dict[str, Address]]]:
-    """Changes in slices, in their order."""
-    for at in range(0, len(new.members), TELL_AT_ONCE):
+    """Changes in slices, in their order; at least one, if an empty one."""
+    for at in range(0, max(len(new.members), 1), TELL_AT_ONCE):
         yield _slice(list(new.members[at : at + TELL_AT_ONCE]), new)
 
 
--- a/passpost/ops/store.py
+++ b/passpost/ops/store.py
@@ -58,6 +58,11 @@
         try:
             fcntl.flock(lock, fcntl.LOCK_EX)  # held for one small write at a time
             self.look()
+        except OSError as error:
+            os.close(lock)
+            self._only_here(by, error)
+            return
+        try:
             self.bans = by(self.bans)
             new = self._path.with_suffix(".new")
             new.write_text(json.dumps({"out": sorted(self.bans.out), "back": self.bans.back}))
--- a/tests/ops/test_store.py
+++ b/tests/ops/test_store.py
@@ -75,6 +75,16 @@
     assert memory.bans == out("a") and not memory.look()
 
 
+def test_a_place_that_knows_no_locks_still_bans_here(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def no_locks(lock: int, how: int) -> None:
+        raise OSError("no locks")
+
+    monkeypatch.setattr("fcntl.flock", no_locks)
+    store = Store(tmp_path / "x.bans")
+    store.change(lambda bans: out("a"))
+    assert store.bans == out("a")
+
+
 def test_moments_that_are_none_are_refused() -> None:
     with pytest.raises(ValueError, match="finite"):
         parse(json.loads('{"out": [], "back": {"a": NaN}}'))
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -177,6 +177,23 @@
     run(test())
 
 
+def test_a_long_list_that_is_back_unchanged_is_news_too() -> None:
+    # The module asks ever more seldom until it hears that the list is back.
+    async def test() -> None:
+        agent, heard = FakeServer(answer_json(listing(2, complete=False))), Heard()
+        await agent.start()
+        discovery = Discovery(parse_address(agent.host_port), parse_listing(many(150, 2)))
+        discovery.start(heard.tell, heard.part)
+        discovery.subscribe()
+        await until(lambda: bool(heard.parts))
+        assert heard.parts[0] == (ListUpdate(ListKind.CHANGES, ()), {})
+        assert len(discovery.members) == 150
+        discovery.stop()
+        agent.stop()
+
+    run(test())
+
+
 def test_requests_are_served_while_a_long_list_changes_over_and_over(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "POLL_S", 0.001)
 
