One piece of code for listening, an answer's head, what follows it, and calling attempts off

Found in the review: the handover wrote Host.listen again, a long answer the head of a short one and what follows it, an answer that has begun the calling off of others, and two passes over a head's fields came with long bodies on the path of every request: one now. No change of behaviour.

--- a/passpost/callers/connection.py
+++ b/passpost/callers/connection.py
@@ -58,12 +58,24 @@
     upload: Upload | None = None  # a long body, in place of `body`; it may still be coming
 
 
+def _head(status: int, headers: Headers, framing: bytes, close: bool) -> bytes:
+    """An answer's head."""
+    return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
+        status,
+        _REASONS.get(status, "").encode(),
+        write_headers(headers),
+        framing,
+        b"Connection: close\r\n" if close else b"",
+    )
+
+
 class _LongAnswer:
     """An answer on its way to a caller. It is the `Sink` of the attempt that brings it."""
 
     def __init__(self, connection: Connection, source: Source, length: int | None, chunks: bool) -> None:
         self._connection, self.source = connection, source
-        self._chunked, self._to_the_end = length is None and chunks, length is None and not chunks
+        self._chunked = length is None and chunks
+        self.to_the_end = length is None and not chunks  # RFC 9112, 6.3: all that HTTP/1.0 has
 
     def write(self, data: bytes) -> None:
         """A piece, in the caller's framing."""
@@ -77,7 +89,7 @@
 
     def cut(self) -> None:
         """The rest does not come: the connection ends short of the length, or of the last chunk, or by a reset."""
-        self._connection.abort(reset=self._to_the_end)
+        self._connection.abort(reset=self.to_the_end)
 
 
 class Connection(asyncio.Protocol):
@@ -190,14 +202,15 @@
         except BadRequestError as error:
             self._bad, self._reason = error.status, error.reason.encode()
             return
-        wanted = any(
-            len(n) == 6 and n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in self._headers
-        )
+        length, wanted = 0, False
+        for name, value in self._headers:
+            size = len(name)
+            if size == 14 and name.lower() == b"content-length":
+                length = int(value)
+            elif size == 6 and name.lower() == b"expect" and value.lower() == b"100-continue":
+                wanted = True
         if wanted and self._current is None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        length = next(
-            (int(v) for n, v in self._headers if len(n) == 14 and n.lower() == b"content-length"), 0
-        )
         if length > LONG and self._call is not None:
             self._open_upload(length)
 
@@ -353,10 +366,7 @@
         close = self._is_last(request) or unread
         bodyless = status in (204, 304) or (request.call is not None and request.call.method == b"HEAD")
         self._answer(status, headers, body, close, bodyless)
-        if unread:
-            self._linger()  # what still comes of its body is thrown away
-        else:
-            self._go_on(close)
+        self._go_on(close, unread)
 
     def _is_over(self, request: _Request) -> bool:
         """The open request is answered; whether part of its body is still to come."""
@@ -375,8 +385,11 @@
         ends = self._server.closing or self._server.is_crowded()
         return not request.keep_alive or (ends and not self._waiting)
 
-    def _go_on(self, close: bool) -> None:
-        if self._transport is not None:
+    def _go_on(self, close: bool, unread: bool) -> None:
+        """Take up what comes behind an answer."""
+        if unread:
+            self._linger()  # what still comes of its body is thrown away
+        elif self._transport is not None:
             if close:
                 self.close()
             elif self._waiting or self._bad:
@@ -387,21 +400,11 @@
         request = self._current
         assert request is not None
         long = self._long = _LongAnswer(self, source, length, request.chunks)
-        to_the_end = length is None and not request.chunks  # RFC 9112, 6.3: all that HTTP/1.0 has
-        self._close_after = self._upload is request or to_the_end or self._is_last(request)
+        self._close_after = self._upload is request or long.to_the_end or self._is_last(request)
         framing = b"Transfer-Encoding: chunked\r\n" if request.chunks else b""
         if length is not None:
             framing = b"Content-Length: %d\r\n" % length
-        self.write(
-            b"HTTP/1.1 %d %b\r\n%b%b%b\r\n"
-            % (
-                answer.status,
-                _REASONS.get(answer.status, "").encode(),
-                write_headers(end_to_end(answer.headers)),
-                framing,
-                b"Connection: close\r\n" if self._close_after else b"",
-            )
-        )
+        self.write(_head(answer.status, end_to_end(answer.headers), framing, self._close_after))
         if self._clogged:
             source.hold(True)
         return long
@@ -411,10 +414,7 @@
         self._long = None
         if self._current is not None:
             unread = self._is_over(self._current)
-            if unread:
-                self._linger()
-            else:
-                self._go_on(self._close_after)
+            self._go_on(self._close_after, unread)
 
     def _answer(
         self,
@@ -425,17 +425,8 @@
         bodyless: bool = False,
     ) -> None:
         """RFC 9110, 8.6: an answer that can have no body has no length, or the length that it would have."""
-        self.write(
-            b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b"
-            % (
-                status,
-                _REASONS.get(status, "").encode(),
-                write_headers(headers or []),
-                b"" if bodyless else b"Content-Length: %d\r\n" % len(body),
-                b"Connection: close\r\n" if close else b"",
-                body,
-            )
-        )
+        framing = b"" if bodyless else b"Content-Length: %d\r\n" % len(body)
+        self.write(_head(status, headers or [], framing, close) + body)
 
     def write(self, data: bytes) -> None:
         """Send bytes, unless the connection is over."""
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -97,14 +97,14 @@
     def listed(self, update: face.ListUpdate, addresses: dict[str, Address]) -> None:
         """News of the list; the addresses come first, as the module may send at once."""
         self._upstreams.route(addresses)
-        self.has_upstreams = self.has_upstreams or any(
-            m.readiness is face.Readiness.READY for m in update.members
-        )
-        self._post(update)
+        self._listed(update)
 
     def listed_part(self, update: face.ListUpdate, addresses: dict[str, Address]) -> None:
         """Changes of the list, with the addresses of those that have changed only."""
         self._upstreams.reroute([m.server for m in update.members], addresses)
+        self._listed(update)
+
+    def _listed(self, update: face.ListUpdate) -> None:
         self.has_upstreams = self.has_upstreams or any(
             m.readiness is face.Readiness.READY for m in update.members
         )
--- a/passpost/host.py
+++ b/passpost/host.py
@@ -40,12 +40,13 @@
     monotonic: Callable[[], float] = staticmethod(time.monotonic)  # seconds; never goes back
     unix: Callable[[], float] = staticmethod(time.time)  # seconds; may be set back or forward at any time
 
+    reuse_port = False  # whether another process may listen on the same address
     accept_at_once = 64  # so many new connections, and then the others have their turn
 
     def listen(self, address: Address, backlog: int) -> Listener:
         """A listening socket that does not block; OSError if the address can't be had."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.create_server(address, backlog=backlog, family=family)
+        listener = socket.create_server(address, backlog=backlog, family=family, reuse_port=self.reuse_port)
         listener.setblocking(False)
         return listener
 
--- a/passpost/ops/handover.py
+++ b/passpost/ops/handover.py
@@ -24,24 +24,23 @@
 
 
 class Shared(Host):
-    """A machine whose clients' address may be taken over from a running process."""
+    """A machine whose clients' address may be taken over from a running process.
+
+    SO_REUSEPORT is the way out for a version that can't be handed a socket: each has a queue of its own then, and
+    what lies in it when its process ends is reset.
+    """
+
+    reuse_port = True
 
     def __init__(self, given: socket.socket | None) -> None:
         self._given = given
 
     def listen(self, address: Address, backlog: int) -> Listener:
-        """The socket that was handed over; else one that a second process may bind beside it.
-
-        SO_REUSEPORT is the way out for a version that can't be handed a socket: each has a queue of its own then,
-        and what lies in it when its process ends is reset.
-        """
+        """The socket that was handed over; else one that a second process may bind beside it."""
         if self._given is not None:
             given, self._given = self._given, None
             return given
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.create_server(address, backlog=backlog, family=family, reuse_port=True)
-        listener.setblocking(False)
-        return listener
+        return super().listen(address, backlog)
 
 
 class Link:
@@ -72,7 +71,7 @@
 
 Taken = tuple[
     socket.socket, socket.socket
-]  # the listening socket, and the connection to whoever handed it over
+]  # the listening socket, and a connection to whoever handed it over
 
 
 def take(path: Path) -> Taken | None:
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -302,12 +302,10 @@
     def _answer_started(self, event: face.AnswerStarted, now: float) -> None:
         """Its server has done its work, unless the class is a stream; other answers are of no use."""
         request, attempt = self._made(event)
+        self._cancel_rest(request, attempt)
         request.streaming, request.owed = True, False
         if not request.cls.streamed:
             self._books.ended(attempt, Outcome.SERVED, request.cls, self._median or 1.0, now)
-        if self._settings.may_cancel:
-            others = ((i, a) for i, a in enumerate(request.attempts) if a.out and a is not attempt)
-            self._actions.extend(face.Cancel(request.id, i) for i, _ in others)
 
     def _body_ended(self, event: face.BodyEnded, now: float) -> None:
         """The request is whole: its time runs, and its server has work."""
@@ -336,9 +334,10 @@
         self._actions.append(face.Refuse(request.id, away) if harmless else face.Fail(request.id))
         self._drop_if_over(request)
 
-    def _cancel_rest(self, request: Request) -> None:
+    def _cancel_rest(self, request: Request, but: Attempt | None = None) -> None:
         if self._settings.may_cancel and not request.streaming:
-            self._actions.extend(face.Cancel(request.id, i) for i, a in enumerate(request.attempts) if a.out)
+            out = (i for i, a in enumerate(request.attempts) if a.out and a is not but)
+            self._actions.extend(face.Cancel(request.id, i) for i in out)
 
     def _left(self, request_id: int) -> None:
         if (request := self._requests.get(request_id)) is not None:
