--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,7 +11,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import uvloop
 
@@ -61,6 +61,16 @@
 AWAY = b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
 
 
+class Upstream(Protocol):
+    """What listens in an upstream's place."""
+
+    host_port: str
+
+    async def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
 class FakeServer:
     """Listens on an ephemeral port and answers by a script: `reply(request, writer)`."""
 
@@ -196,7 +206,7 @@
 
 @asynccontextmanager
 async def balancer(
-    *upstreams: FakeServer,
+    *upstreams: Upstream,
     discovery: str = "127.0.0.1:1",
     change: Callable[[dict[str, Any]], None] = lambda data: None,
 ) -> AsyncIterator[Balancer]:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 
 import pytest
 
@@ -13,7 +12,7 @@
 from passpost.callers import connection
 from passpost.http1 import MAX_LONG
 from passpost.streams import AHEAD, LONG, Upload
-from tests.loopback import Balancer, Client, Reader, Writer, config_data, member, run, until
+from tests.loopback import Client, Reader, Writer, balancer, run, until
 
 MB = 1024 * 1024
 PATTERN = bytes(range(251)) * 4_200  # a little over 1 MB, and no part of it repeats at a chunk's border
@@ -47,25 +46,6 @@
             writer.close()
 
 
-@asynccontextmanager
-async def balanced(*takers: Taker) -> AsyncIterator[Balancer]:
-    from passpost import config
-    from passpost.node import Node
-
-    for taker in takers:
-        await taker.start()
-    started = Balancer(
-        Node(config.read(config_data([member(f"s{i}", t.host_port) for i, t in enumerate(takers)])))
-    )
-    try:
-        yield started
-    finally:
-        started.hang_up()
-        started.node.close()
-        for taker in takers:
-            taker.stop()
-
-
 async def read_body(reader: Reader, head: bytes) -> bytes:
     lowered = head.lower()
     if b"transfer-encoding: chunked" in lowered:
@@ -105,7 +85,7 @@
         writer.write(OK)
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             for turn in range(2):  # the connections are of use again behind it
                 client.writer.write(head_of(client, None if chunked else len(PATTERN), txn=f"t{turn}"))
@@ -137,7 +117,7 @@
         await writer.drain()
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             for _ in range(3):
                 client.send()
@@ -157,7 +137,7 @@
         writer.write(b"b" * (2 * LONG - 10))
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             client.send()
             await client.reader.readuntil(b"\r\n\r\n")
@@ -177,7 +157,7 @@
         writer.write(b"2\r\nde\r\n0\r\n\r\n")
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             client.send()
             assert b"chunked" in await client.reader.readuntil(b"\r\n\r\n")
@@ -198,7 +178,7 @@
 
     async def test() -> None:
         taker = Taker(script)
-        async with balanced(taker) as b:
+        async with balancer(taker) as b:
             client = await b.connect()
             client.send()
             with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
@@ -216,7 +196,7 @@
 
     async def test() -> None:
         first, second = Taker(script), Taker(script)
-        async with balanced(first, second) as b:
+        async with balancer(first, second) as b:
             client = await b.connect()
             client.writer.write(head_of(client, 4 * MB) + b"x" * 500_000)
             head = await client.reader.readuntil(b"\r\n\r\n")
@@ -234,7 +214,7 @@
 
     async def test() -> None:
         good, bad = Taker(script), Taker(script)
-        async with balanced(good, bad) as b:
+        async with balancer(good, bad) as b:
             bad.stop()
             for turn in range(6):
                 client = await b.connect()
@@ -261,7 +241,7 @@
             sent += 64 * 1024
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             client.writer.transport.set_write_buffer_limits(high=64 * 1024)
             client.writer.write(head_of(client, 32 * MB))
@@ -295,7 +275,7 @@
 
     async def test() -> None:
         taker = Taker(script)
-        async with balanced(taker) as b:
+        async with balancer(taker) as b:
             told = await b.connect()
             told.writer.write(head_of(told, MAX_LONG + 1))
             assert (await told.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 413 ")
@@ -323,7 +303,7 @@
             ended.set()
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             client.writer.write(head_of(client, MB) + b"x" * (LONG + 1))
             assert (await client.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 408 ")
@@ -348,7 +328,7 @@
 
     async def test() -> None:
         taker = Taker(script)
-        async with balanced(taker) as b:
+        async with balancer(taker) as b:
             client = await b.connect()
             client.writer.write(head_of(client, MB) + b"x" * (MB if after == "answer" else 200_000))
             if after == "answer":
@@ -368,7 +348,7 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n%07d" % len(body))
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             client.send("/read")
             client.writer.write(head_of(client, MB) + b"x" * MB)
@@ -396,7 +376,7 @@
             writer.write(b"0\r\n\r\n")
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             raw = b"GET /read HTTP/1.0\r\nX-Txn: %b\r\nX-Remaining: 9.0\r\n\r\n"
             client = await b.connect()
             client.writer.write(raw % b"a")
@@ -419,7 +399,7 @@
         raise AssertionError("nothing of it goes on")
 
     async def test() -> None:
-        async with balanced(Taker(script)) as b:
+        async with balancer(Taker(script)) as b:
             client = await b.connect()
             client.writer.write(b"GET /health/ready HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % MB + b"x" * MB)
             assert (await client.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 413 ")
@@ -437,7 +417,7 @@
 
     async def test() -> None:
         taker = Taker(script)
-        async with balanced(taker) as b:
+        async with balancer(taker) as b:
             first, second = await b.connect(), await b.connect()
             raw = head_of(first, MB)
             first.writer.write(raw + b"x" * MB)
