Cold servers are paced by what one serves alone, not only by what warm ones are sent

Change: a balancer's share of what one core of a server serves, pooled over the middle half of the servers in warm time, is a pace too.

--- a/umberworks/cold.py
+++ b/umberworks/cold.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from umberworks import interface as face
-from umberworks.servers import Server
+from umberworks.servers import MEMORY_MS, Server
 
 SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+LEAST_CALLS = 4.0  # in memory, to tell how fast a server is
 
 
 class Cold:
@@ -15,6 +18,25 @@
         self._settings = settings
         self.until = 0.0  # some listed server may be cold up to then
         self.usual_rate = 0.0  # served calls a millisecond of a warm server
+        self.alone = 0.0  # calls a millisecond that one can serve one after the other, when it is warm
+
+    def learn(self, servers: Iterable[Server], now: float) -> None:
+        """Measure what warm servers serve, and how fast any would when it is warm."""
+        warm, known = [], []
+        for server in servers:
+            server.catch_up(now)
+            warmth = self.warmth(server, now)
+            if warmth >= 1:
+                warm.append(server.served)
+            if server.served and server.busy:
+                known.append((server.served / server.busy / warmth, server.served))
+        if warm:
+            self.usual_rate = sum(warm) / len(warm) / MEMORY_MS
+        # Of few calls each, most are far off: the middle half of the servers is pooled.
+        known.sort()
+        middle = known[len(known) // 4 : len(known) - len(known) // 4]
+        if (calls := sum(served for _, served in middle)) >= LEAST_CALLS:
+            self.alone = calls / sum(served / fast for fast, served in middle)
 
     def started(self, at: float) -> None:
         """A server has started."""
@@ -32,6 +54,7 @@
     def has_room(self, server: Server, now: float) -> bool:
         """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
         warmth = self.warmth(server, now)
-        rate = SAFETY * self._settings.cold_overload_factor * warmth * self.usual_rate
+        usual = max(self.usual_rate, self.alone / self._settings.balancers)
+        rate = SAFETY * self._settings.cold_overload_factor * warmth * usual
         gap = now - server.last_sent
         return warmth >= 1 or gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -179,13 +179,7 @@
         ready = len(self._fleet.ready)
         self._counted = ready >= self._settings.balancers  # else a count of calls out is chance
         self._sliver = self._settings.sizes_exact and calls < CALLS_EACH * ready
-        warm = []
-        for server in self._fleet.ready[: min(self._fleet.keeps, WALK)]:  # ranks are drawn: as good as any
-            server.catch_up(self._now)
-            if self._cold.warmth(server, self._now) >= 1:
-                warm.append(server.served)
-        if warm:
-            self._cold.usual_rate = sum(warm) / len(warm) / MEMORY_MS
+        self._cold.learn(self._fleet.ready[: min(self._fleet.keeps, WALK)], self._now)  # ranks are drawn
 
     # ---- a request's path -----------------------------------------------------------------------
 
