Servers are drawn by what their kind has shown; cold ones are measured in warm time

Kinds of this site differ by 2.5 in speed, a balancer sees a call or two a second at a server, and a new server lives 15 s there.

--- a/passpost/listing.py
+++ b/passpost/listing.py
@@ -47,6 +47,7 @@
             cell=int(entry.get("cell", 0)),
             size=float(entry.get("size", 1.0)),
             up_since_ms=float(entry.get("up_since_ms", 0)),
+            kind=str(entry.get("flavor", "")),
         )
         if not math.isfinite(member.up_since_ms):
             raise ValueError(f"{member.server!r} is up since {member.up_since_ms}")
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -149,6 +149,7 @@
         "umberworks.crowd",
         "umberworks.inherit",
         "umberworks.interface",
+        "umberworks.kinds",
         "umberworks.requests",
         "umberworks.rest",
         "umberworks.room",
--- a/umberworks/cold.py
+++ b/umberworks/cold.py
@@ -5,9 +5,11 @@
 from collections.abc import Iterable
 
 from umberworks import interface as face
+from umberworks.kinds import pooled
 from umberworks.servers import MEMORY_MS, Server
 
 SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+LEAST_CORES = 2  # that a server has: so many calls it serves beside one another at full speed
 LEAST_CALLS = 4.0  # in memory, to tell how fast a server is
 
 
@@ -25,18 +27,15 @@
         warm, known = [], []
         for server in servers:
             server.catch_up(now)
-            warmth = self.warmth(server, now)
-            if warmth >= 1:
+            if self.warmth(server, now) >= 1:
                 warm.append(server.served)
             if server.served and server.busy:
-                known.append((server.served / server.busy / warmth, server.served))
+                known.append((server.served / server.busy / server.size, server.served))
         if warm:
             self.usual_rate = sum(warm) / len(warm) / MEMORY_MS
-        # Of few calls each, most are far off: the middle half of the servers is pooled.
-        known.sort()
-        middle = known[len(known) // 4 : len(known) - len(known) // 4]
-        if (calls := sum(served for _, served in middle)) >= LEAST_CALLS:
-            self.alone = calls / sum(served / fast for fast, served in middle)
+        calls, time = pooled(known)
+        if calls >= LEAST_CALLS:
+            self.alone = calls / time
 
     def started(self, at: float) -> None:
         """A server has started."""
@@ -54,7 +53,8 @@
     def has_room(self, server: Server, now: float) -> bool:
         """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
         warmth = self.warmth(server, now)
-        usual = max(self.usual_rate, self.alone / self._settings.balancers)
+        ours = LEAST_CORES * self.alone * server.size / self._settings.balancers
+        usual = max(self.usual_rate, ours)
         rate = SAFETY * self._settings.cold_overload_factor * warmth * usual
         gap = now - server.last_sent
         return warmth >= 1 or gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -154,7 +154,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One server as the list shows it; `up_since_ms` is 0 when it started long ago."""
+    """One server as the list shows it; `up_since_ms` is 0 when it started long ago.
+
+    `kind`: the sort of machine, where the list tells it; those of a kind are taken to be about as fast.
+    """
 
     server: str
     readiness: Readiness = Readiness.READY
@@ -162,6 +165,7 @@
     cell: int = 0
     size: float = 1.0
     up_since_ms: float = 0.0
+    kind: str = ""
 
     def __post_init__(self) -> None:
         _require(math.isfinite(self.size) and self.size > 0, "size", "must be a finite number above 0")
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -17,6 +17,7 @@
 from umberworks.crowd import Crowd
 from umberworks.inherit import Heritage, told
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
+from umberworks.kinds import Kinds
 from umberworks.requests import Attempt, Request, Tries
 from umberworks.rest import Rest
 from umberworks.room import RATE_MEMORY_MS, Room
@@ -57,7 +58,7 @@
         self._retries, self._now = RETRY_BURST, 0.0
         self._room = Room(settings.balancers)
         self._crowd = Crowd(settings.balancers, settings.calling_tier)
-        self._rest, self._heritage = Rest(), Heritage()
+        self._rest, self._heritage, self._kinds = Rest(), Heritage(), Kinds(settings.sizes_exact)
         self._books = Books(self._room, self._fleet, self._crowd)
         self._tries = {c.name: Tries() for c in settings.classes}
         self._median, self._median_at, self._cold = 0.0, -math.inf, Cold(settings)
@@ -98,10 +99,7 @@
                 self._body_ended(event, now)
             case face.Inherited():
                 self._heritage.take(event, self._room)
-                for server in list(self._fleet.ready):
-                    self._is_fit(server, False)  # what it is drawn by changes
-                    self._heritage.give(server)
-                    self._is_fit(server, True)
+                self._draw_anew(self._heritage.give)
             case face.BodySpent():
                 if (request := self._requests.get(event.request)) is not None:
                     request.spent = True
@@ -128,9 +126,10 @@
         for member in event.members:
             server = self._servers.get(member.server)
             if server is None:
-                server = self._servers[member.server] = Server(member, now, self._random.random())
+                server = Server(member, now, self._random.random(), self._cold.warmth)
+                self._servers[member.server] = server
                 self._heritage.give(server)
-            size = member.size if self._settings.sizes_exact else 1.0
+            size = self._kinds.size(member)
             if member.up_since_ms > server.member.up_since_ms or size != server.size:
                 self._is_fit(server, False)  # what it is drawn by changes
             if member.up_since_ms > server.member.up_since_ms:
@@ -164,6 +163,13 @@
         """What a version that takes over from this one should know."""
         return told(self._room, self._fleet.ready, now)
 
+    def _draw_anew(self, change: Callable[[Server], None]) -> None:
+        """Change what the ready servers are drawn by."""
+        for server in list(self._fleet.ready):
+            self._is_fit(server, False)
+            change(server)
+            self._is_fit(server, True)
+
     def _is_fit(self, server: Server, fit: bool) -> None:
         if fit and not server.fit:
             self._fleet.enter(server, self._median or 1.0, self._now)
@@ -429,6 +435,8 @@
             if self._counted and self._crowd.tells:
                 said = self._rest.look(some, now < self._refusing_until, self._crowd.least, now)
                 self._actions += [face.Log(said)] if said else []
+            if self._kinds.learn(some, now):
+                self._draw_anew(self._kinds.give)
             known = sorted(s.served / s.busy / s.size for s in some if s.served > 0.5 and s.busy > 0)
             if known:
                 self._median = known[len(known) // 2]
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -26,6 +26,10 @@
 RISE = 2.0  # bounds hold until the usual capacity has risen by this
 
 
+def _warm(server: Server, now: float) -> float:
+    return 1.0
+
+
 class Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
@@ -57,10 +61,14 @@
         "served",
         "size",
         "usual_time",
+        "warmth",
     )  # fmt: skip
 
-    def __init__(self, member: face.Member, now: float, rank: float) -> None:
+    def __init__(
+        self, member: face.Member, now: float, rank: float, warmth: Callable[[Server, float], float] = _warm
+    ) -> None:
         self.member, self.rank, self.size = member, rank, 1.0
+        self.warmth = warmth  # of a server at a moment: the part that it has of its capacity at the least
         self.listed, self.fit, self.heard = False, False, now  # ready by the list; and nobody took it out
         self.in_flight = 0  # m of the design, held slots of failures included
         self.live = 0  # the same without these
@@ -87,7 +95,10 @@
             fade = math.exp(-gap / MEMORY_MS)
             self.served *= fade
             # The time that calls in flight add fades too: one long gap comes to as much as many short ones.
-            self.busy = self.busy * fade + self.in_flight * MEMORY_MS * (1 - fade)
+            # It counts as warm time: what a cold server shows tells what it will do once it is warm.
+            self.busy *= fade
+            if self.in_flight:
+                self.busy += self.in_flight * MEMORY_MS * (1 - fade) * self.warmth(self, now)
             third = fade * fade * fade
             self.crowd = self.live + (self.crowd - self.live) * third
             self.recent *= third
@@ -100,7 +111,7 @@
         return self.crowd * MEMORY_MS / 3 / self.recent if self.recent else 0.0
 
     def capacity(self, usual: float, now: float) -> float:
-        """c of the design: served calls over our time in flight there, leaning on the usual one."""
+        """c of the design when it is warm: served calls over our time in flight, leaning on what is usual."""
         self.catch_up(now)
         return (self.served + PRIOR_CALLS) / (self.busy + PRIOR_CALLS / (usual * self.size))
 
@@ -285,8 +296,7 @@
         usual, now, warmth = self._usual, self._now, self._warmth
         capacity = [s.capacity(usual, now) for s in able]
         if warmth is not None:
-            pairs = zip(able, capacity, strict=True)
-            capacity = [min(c, usual * s.size * w) if (w := warmth(s, now)) < 1 else c for s, c in pairs]
+            capacity = [c * warmth(s, now) for s, c in zip(able, capacity, strict=True)]
         sums = list(accumulate(capacity))
         for _ in range(DRAWS):
             i = min(bisect(sums, self._random() * sums[-1]), len(able) - 1)
@@ -306,8 +316,8 @@
             i, part = divmod(x - (sums[j - 1] if j else 0.0), bucket.largest * max(bucket.top, usual))
             server = bucket.servers[min(int(i), len(bucket.servers) - 1)]
             capacity = server.capacity(usual, now)
-            if warmth is not None and (share := warmth(server, now)) < 1:
-                capacity = min(capacity, usual * server.size * share)
+            if warmth is not None:
+                capacity *= warmth(server, now)
             if part < capacity and (test is None or test(server)):
                 drawn += 1
                 if self._offer(server, capacity) or drawn == DRAWS:
--- a/umberworks/wire.py
+++ b/umberworks/wire.py
@@ -172,6 +172,7 @@
         cell=int(number(fields, "cell", 0.0)),
         size=size,
         up_since_ms=number(fields, "upSince", 0.0),
+        kind=fields.get("classOfHost", ""),
     )
 
 
