A warm server's room costs no reckoning of a cold one's pace

cold.has_room is asked at each trial of a draw while any server is cold; the pace, which the fleet's change had made dearer, was worked out for warm servers too and thrown away. They return first now. The same answer in every case; all tests pass, no bench was played for it.

--- a/umberworks/cold.py
+++ b/umberworks/cold.py
@@ -53,8 +53,9 @@
     def has_room(self, server: Server, now: float) -> bool:
         """Whether a cold server can take a call: evenly spaced, as bursts and roundings of many add up."""
         warmth = self.warmth(server, now)
+        if warmth >= 1:
+            return True
         ours = LEAST_CORES * self.alone * server.size / self._settings.balancers
-        usual = max(self.usual_rate, ours)
-        rate = SAFETY * self._settings.cold_overload_factor * warmth * usual
+        rate = SAFETY * self._settings.cold_overload_factor * warmth * max(self.usual_rate, ours)
         gap = now - server.last_sent
-        return warmth >= 1 or gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
+        return gap * rate >= 1 or (not rate and gap >= self._settings.cold_window_ms)
