Of many balancers a busy one is not held to an even part of the room while calls are quick

Seen with figures in the logs: all 8,096 requests given up for room lie at 4 of 35 fronts (n1, n16, n27, n32), which get five times the others' requests. n16 at second 13: 'out=20 size=19.8 mean=0.153 ... arrived=263 sent=33 no_room=215', in the same second n0 'out=7 size=32.1 ... arrived=25'. Nothing was slow: calls took 0.15 of their aims everywhere.

Cause: Room.size in umberworks/room.py, whose bound is FREE_PER_SERVER times an even part of the servers, and LEAST_ROOM, which is less than that here. Ruled out: cold servers (cold=0), savings (no_savings 0), the crowd bound (it tells nothing of over seven balancers).

Change: of over seven balancers the bound holds only once calls take 0.2 of their aims. Room for it: the pick asks servers for their warmth in place of a parameter, ten lines less; same decisions.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -352,6 +352,25 @@
     assert steady(desk, 60.0, rounds=40) < 12, "what their half of the fleet has room for, and a little"
 
 
+def test_of_many_balancers_a_busy_one_is_not_held_to_an_even_part_while_calls_are_quick() -> None:
+    desk = Desk(160, balancers=32)
+    assert batch(desk, 40, 150.0) == 20, "nothing is known of the fleet yet: an even part"
+    for _ in range(20):
+        assert batch(desk, 60, 150.0) == 60, "three times its even part: the others leave theirs empty"
+
+
+def test_of_many_balancers_each_is_held_to_its_part_once_calls_take_long() -> None:
+    desk = Desk(160, balancers=32)
+    steady(desk, 150.0, rounds=40, asked=20)
+    assert steady(desk, 600.0, rounds=40, asked=60) < 24, "an even part, and a little"
+
+
+def test_of_few_balancers_none_takes_the_others_part() -> None:
+    few, many = Desk(35, balancers=7), Desk(40, balancers=8)
+    assert steady(few, 150.0, rounds=40, asked=90) < 60
+    assert steady(many, 150.0, rounds=40, asked=90) == 90
+
+
 def test_connections_are_kept_free_while_callers_can_open_no_more() -> None:
     desk = Desk(4)
     few = [desk.ask(free_connections=0)[1] for _ in range(2)]
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -16,6 +16,11 @@
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
 LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
 LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
+# Of many balancers a few have several times the others' share of callers, and an even part of the fleet's
+# room would refuse theirs while the others' parts stand empty. So theirs is not bounded while calls take little
+# of their aims; at LOAD_FREE all have widened theirs at once, and it is too late: the fleet is overrun.
+# Few balancers are about as busy as one another, and fill a server by themselves: their bound stays.
+MANY, LOAD_CALM = 7, 0.2
 LEAST_ADMITTED = 0.05  # the share let in all the same, to notice that the crowd has gone
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 
@@ -63,6 +68,8 @@
 
     def size(self, ready: int) -> float:
         """How many calls may be out: past its capacity a server only queues, a crowded one slows down."""
+        if self._balancers > MANY and self._spent < LOAD_CALM * self._aims:
+            return math.inf
         ours = ready / self._balancers
         # A factor in place of the sum would let the room shrink away once calls take longer than it allows.
         queued = ours + self.base * self._aims / RATE_MEMORY_MS
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -380,8 +380,7 @@
         median = self._known_median(now)
         count, harmless = self._able(request, now)
         cold, tried = now < self._cold.until, [a.server for a in request.attempts]
-        warmth = self._cold.warmth if cold else None
-        pick = Pick(self._random, now, median, warmth, self._sliver)
+        pick = Pick(self._random, now, median, cold, self._sliver)
         crowded = self._counted and self._crowd.tells and harmless is None  # a repeat has few places to go
 
         test: Callable[[Server], bool] | None = None
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -268,16 +268,9 @@
     (`sliver`) an idle server in good standing ends the draws, and shares follow capacity, no power of it.
     """
 
-    def __init__(
-        self,
-        chance: random.Random,
-        now: float,
-        usual: float,
-        warmth: Callable[[Server, float], float] | None,
-        sliver: bool,
-    ) -> None:
+    def __init__(self, chance: random.Random, now: float, usual: float, cold: bool, sliver: bool) -> None:
         self._random, self._now, self._usual = chance.random, now, usual
-        self._warmth, self._sliver = warmth, sliver  # no warmth: all are warm
+        self._cold, self._sliver = cold, sliver  # not cold: all are warm
         self._best = (math.inf, 0.0, 0.0)
         self._chosen: Server | None = None
 
@@ -293,10 +286,8 @@
         self._best, self._chosen = (math.inf, 0.0, 0.0), None
         if not able:
             return None
-        usual, now, warmth = self._usual, self._now, self._warmth
-        capacity = [s.capacity(usual, now) for s in able]
-        if warmth is not None:
-            capacity = [c * warmth(s, now) for s, c in zip(able, capacity, strict=True)]
+        usual, now = self._usual, self._now
+        capacity = [s.capacity(usual, now) * (s.warmth(s, now) if self._cold else 1.0) for s in able]
         sums = list(accumulate(capacity))
         for _ in range(DRAWS):
             i = min(bisect(sums, self._random() * sums[-1]), len(able) - 1)
@@ -306,7 +297,7 @@
 
     def among(self, draws: Draws, test: Callable[[Server], bool] | None) -> Server | None:
         """The pick of a set's servers that pass a test; None if too few pass to be met with by chance."""
-        usual, now, warmth = self._usual, self._now, self._warmth
+        usual, now, cold = self._usual, self._now, self._cold
         buckets, sums = draws.table(usual)
         drawn, whole, last = 0, sums[-1], len(sums) - 1
         for _ in range(TRIALS):
@@ -316,8 +307,8 @@
             i, part = divmod(x - (sums[j - 1] if j else 0.0), bucket.largest * max(bucket.top, usual))
             server = bucket.servers[min(int(i), len(bucket.servers) - 1)]
             capacity = server.capacity(usual, now)
-            if warmth is not None:
-                capacity *= warmth(server, now)
+            if cold:
+                capacity *= server.warmth(server, now)
             if part < capacity and (test is None or test(server)):
                 drawn += 1
                 if self._offer(server, capacity) or drawn == DRAWS:
