--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -16,8 +16,8 @@
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
 LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
 LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
-# Of many balancers a few have several times the others' share of callers, and an even part of the fleet's
-# room would refuse theirs while the others' parts stand empty. So theirs is not bounded while calls take little
+# Of many balancers a few have several times the others' share of callers, and an even part of the room
+# would refuse theirs while the others' parts stand empty. So theirs is not bounded while calls take little
 # of their aims; at LOAD_FREE all have widened theirs at once, and it is too late: the fleet is overrun.
 # Few balancers are about as busy as one another, and fill a server by themselves: their bound stays.
 MANY, LOAD_CALM = 7, 0.2
