passpost logs: what became of each request, added up over all balancers' logs

Ruled out: lines from the module, which does not know a request's id; following a call into later tiers by its upstream's name, as ids are new there and a balancer's name is not its upstream's id.

--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -41,12 +41,27 @@
         raise ConfigError(str(error)) from None
 
 
-def operated(config: Config, module: type[Balancer]) -> Node:
-    """A node that operators call. Loaded here, as the platform's older days have none."""
+def started(config: Config, module: type[Balancer]) -> Node:
+    """A node; one that operators call where there is an address for it, and a traced one with `$PASSPOST_TRACE`.
+
+    What either needs is loaded here, as the platform's older days have no operators, and a day in service no trace.
+    """
+    traced = bool(os.environ.get("PASSPOST_TRACE"))
+    if config.ops is None:
+        if not traced:
+            return Node(config, module=module)
+        from passpost.trace.engine import TracedEngine
+
+        return Node(config, module=module, engine=TracedEngine)
     from passpost.ops import node
 
     folder = node.folder()
-    return node.OperatedNode(config, folder, node.take_over(config, folder), module=module)
+    taken = node.take_over(config, folder)
+    if not traced:
+        return node.OperatedNode(config, folder, taken, module)
+    from passpost.trace.engine import TracedCountingEngine
+
+    return node.OperatedNode(config, folder, taken, module, TracedCountingEngine)
 
 
 def chosen_module() -> type[Balancer]:
@@ -82,8 +97,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config = load(path)
-    module = chosen_module()
-    node = Node(config, module=module) if config.ops is None else operated(config, module)
+    node = started(config, chosen_module())
     log.info("%s serves on %s:%d", config.name, config.listen[0], node.server.port)
     if operator is not None:
         carried = beside(operator)
--- a/passpost/cli/command.py
+++ b/passpost/cli/command.py
@@ -15,6 +15,7 @@
     "schema": "passpost.cli.schema",
     "rehearse": "passpost.cli.rehearse",
     "explore": "passpost.cli.explore",
+    "logs": "passpost.cli.logs",
 }
 
 
--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -42,6 +42,7 @@
         folder: Path | None,
         taken: handover.Taken | None = None,
         module: type[Balancer] = Balancer,
+        engine: type[CountingEngine] = CountingEngine,
     ) -> None:
         assert config.ops is not None
         stem = None if folder is None else _stem(config, folder)
@@ -50,7 +51,7 @@
         host = handover.Shared(taken[0] if taken else None)
         endpoint = Endpoint(config.ops, self.answer, HOST)  # first: what can't be had must not cost a caller
         try:
-            super().__init__(config, host, module, engine=CountingEngine)
+            super().__init__(config, host, module, engine=engine)
         except BaseException:
             endpoint.close()
             raise
--- /dev/null
+++ b/passpost/trace/engine.py
@@ -0,0 +1,99 @@
+"""Engines that write a line for each request that is over. Off by default, and not imported then: PASSPOST_TRACE=1."""
+
+from __future__ import annotations
+
+import logging
+import re
+from typing import Any
+
+from passpost.engine import Caller, Engine, _Open
+from passpost.http1 import Answer
+from passpost.ops.counting import CountingEngine
+from passpost.trace.model import End, Entry, Try, write
+from passpost.upstream import Outgoing
+from umberworks import interface as face
+from umberworks.interface import Outcome
+
+log = logging.getLogger(__name__)
+
+_TXN = re.compile(rb"\r\nX-Txn:[ \t]*([^\r\n ]+)", re.IGNORECASE)
+
+
+class _Trace:
+    """A request as far as it has come."""
+
+    __slots__ = ("at", "class_name", "end", "ended", "sent", "tries", "txn")
+
+    def __init__(self, txn: str, class_name: str, at: float) -> None:
+        self.txn, self.class_name, self.at, self.ended = txn, class_name, at, at
+        self.end = End.LEFT
+        self.sent: dict[int, float] = {}
+        self.tries: dict[int, Try] = {}
+
+
+class TracedEngine(Engine):
+    """Writes what became of each request and of each attempt, once no attempt is out."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self._traces: dict[int, _Trace] = {}
+
+    def arrived(
+        self,
+        class_name: str,
+        tenant: str | None,
+        remaining: float,
+        outgoing: Outgoing,
+        caller: Caller,
+        free_connections: float,
+    ) -> int:
+        """As the engine's."""
+        found = _TXN.search(outgoing.head)
+        txn = found[1].decode("latin-1") if found is not None else "-"
+        self._traces[self._count + 1] = _Trace(txn, class_name, self.now())
+        return super().arrived(class_name, tenant, remaining, outgoing, caller, free_connections)
+
+    def _carry_out(self, action: face.Action) -> None:
+        match action:
+            case face.Refuse(number):
+                self._note_end(number, End.REFUSED)
+            case face.Fail(number):
+                self._note_end(number, End.FAILED)
+            case face.Send(number) if (trace := self._traces.get(number)) is not None:
+                trace.sent[len(self._requests[number].attempts)] = self.now()
+        super()._carry_out(action)
+
+    def _abandon(self, number: int, status: int) -> None:
+        self._note_end(number, End.FAILED)
+        super()._abandon(number, status)
+
+    def _note_end(self, number: int, end: End) -> None:
+        request, trace = self._requests.get(number), self._traces.get(number)
+        if request is not None and trace is not None and not request.finished:
+            trace.end, trace.ended = end, self.now()
+
+    def _ended(
+        self, number: int, request: _Open, index: int, server: str, outcome: Outcome, answer: Answer | None
+    ) -> None:
+        trace = self._traces.get(number)
+        if trace is not None:
+            now, sent = self.now(), trace.sent.get(index, trace.at)
+            said = outcome.value.replace(" ", "_")
+            trace.tries[index] = Try(server, round(sent - trace.at), round(now - sent), said)
+            if outcome is Outcome.SERVED and not request.finished:
+                trace.end, trace.ended = End.SERVED, now
+        super()._ended(number, request, index, server, outcome, answer)
+
+    def _forget_if_over(self, number: int, request: _Open) -> None:
+        super()._forget_if_over(number, request)
+        if not request.finished or request.out:
+            return
+        if (trace := self._traces.pop(number, None)) is not None:
+            tries = tuple(trace.tries[i] for i in sorted(trace.tries))
+            took = round((self.now() if trace.end is End.LEFT else trace.ended) - trace.at)
+            entry = Entry(trace.txn, trace.class_name, round(trace.at), took, trace.end, tries)
+            log.info("%s", write(entry))
+
+
+class TracedCountingEngine(TracedEngine, CountingEngine):
+    """The same, where operators call."""
