Hundreds of balancers spread their calls for the list by their number

Whoever has no list keeps on sending to servers that have gone (80 to 150 attempts a second 'unreached').

Cause: umberworks/rules.py, handle (Subscribe at the first event, so at a start in step) and _listed (a pause of 0.25 to 5 s whatever the number of balancers), and Discovery.move (asks at once at SIGHUP, and drops the old watch). Discovery takes calls in turn; once its line is longer than the 2 s that it waits itself, nearly all fail, and those that repeat keep it so. tests/test_fleet.py plays that queue: 80 of 200 balancers get the list after a start, 12 of 200 after all watches have ended; with the change all do.

Change: of over seven balancers first calls, calls after a failure and calls after a move are spread over 50 ms for each balancer, up to half of the span that the settings allow without asking: half as long again stays under it. After a move the old watch goes on until the new place answers.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -56,6 +56,23 @@
 Tell = Callable[[ListUpdate, dict[str, Address]], None]
 
 
+class _Place:
+    """Where the list is followed, and the version of it that is held from there (None: the whole list is wanted)."""
+
+    def __init__(self, address: Address, revision: int | None) -> None:
+        self.address, self.revision = address, revision
+        self.task: asyncio.Task[None] | None = None
+
+    def is_followed(self) -> bool:
+        """Whether a call is out, or the next one is about to be."""
+        return self.task is not None and not self.task.done()
+
+    def leave(self) -> None:
+        """Ask no more there."""
+        if self.task is not None:
+            self.task.cancel()
+
+
 class Discovery:
     """Keeps the list as discovery tells it; `subscribe` asks for it, once for each time the module does.
 
@@ -64,16 +81,16 @@
     """
 
     def __init__(self, address: Address, known: Listing | None, pushed: bool = False) -> None:
-        self._address, self._pushed = address, pushed
+        self._pushed = pushed
         self._stopped = False
         self._silent = False  # the agent has not answered lately; said once
         self._known = known or Listing(0, False, (), {})
-        self._revision = known.revision if known is not None else None  # None: asks for the whole list
+        self._place = _Place(address, known.revision if known is not None else None)
+        self._old: _Place | None = None  # followed on until the new place has answered
         self._addresses: dict[str, Address] = {}
         self.members: dict[str, Member] = {}  # the list as it stands
         self._tell: Tell = lambda update, addresses: None
         self._tell_part: Tell | None = None
-        self._task: asyncio.Task[None] | None = None
 
     def start(self, tell: Tell, tell_part: Tell | None = None) -> None:
         """Tell the saved list; what comes later goes to the same place, with the addresses of all.
@@ -87,30 +104,47 @@
 
     def subscribe(self) -> None:
         """Follow the list from now on, until a call fails; the failure is told."""
-        if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._follow())
-
-    def move(self, address: Address) -> None:
-        """Follow the list at another address; what is known stays until the whole list comes from there."""
-        if address == self._address:
-            return
-        self._address, self._revision = address, None  # the new place may count its versions anew
-        self.stop()
-        self._task, self._stopped, self._silent = None, False, False
-        self.subscribe()
+        place = self._place
+        if not place.is_followed():
+            place.task = asyncio.get_running_loop().create_task(self._follow(place))
+
+    def move(self, address: Address) -> bool:
+        """Follow the list at another address, and say whether it is another; what is known stays meanwhile.
+
+        A list that is asked for is asked for there once `subscribe` is called, and until the answer comes a watch at
+        the old address goes on: of hundreds that move together many wait, and what was written to them counts as told.
+        """
+        if address == self._place.address:
+            return False
+        if self._place.is_followed():  # else it was never asked, and the one before it goes on
+            self._leave_old()
+            self._old = self._place
+        self._place = _Place(address, None)  # it may count its versions anew
+        self._stopped, self._silent = False, False
+        if self._pushed:
+            self._leave_old()
+            self.subscribe()
+        return True
 
     def stop(self) -> None:
         """Ask no more."""
         self._stopped = True
-        if self._task is not None:
-            self._task.cancel()
+        self._leave_old()
+        self._place.leave()
+
+    def _leave_old(self) -> None:
+        old, self._old = self._old, None
+        if old is not None:
+            old.leave()
 
-    async def _follow(self) -> None:
-        line = _Line(self._address)
+    async def _follow(self, place: _Place) -> None:
+        line = _Line(place.address)
         wait = 0  # the first answer comes at once, so that the module hears whether the list is back
         try:
             while True:
-                listing = await self._call(line, wait)
+                listing = await self._call(line, place.revision, wait)
+                if place is self._place:
+                    self._leave_old()
                 first = wait == 0 and not self._pushed
                 if not (first or listing.complete or listing.members):
                     pass  # nothing has changed
@@ -119,7 +153,7 @@
                 else:
                     kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
                     self._apply(listing, kind)
-                self._revision, self._silent = listing.revision, False
+                place.revision, self._silent = listing.revision, False
                 if self._pushed:
                     await asyncio.sleep(POLL_S)
                 else:
@@ -131,11 +165,13 @@
         except Exception as error:
             # A bad answer must not empty or half change the list: the old one stands, asked for whole next.
             log.warning("discovery: bad answer: %s: %s", type(error).__name__, error)
-            self._revision = None
+            place.revision = None
         finally:
             line.hang_up()
-        self._task = None
-        if self._pushed:
+        place.task = None
+        if place is not self._place:
+            pass  # its successor is asked already, or about to be
+        elif self._pushed:
             asyncio.get_running_loop().call_later(POLL_S, self._again)
         else:
             self._tell(ListUpdate(ListKind.FAILED), self._addresses)
@@ -185,13 +221,13 @@
         assert reading.listing is not None
         return reading.listing
 
-    async def _call(self, line: _Line, wait_ms: int) -> Listing:
-        target = _PATH if self._revision is None else f"{_PATH}?after={self._revision}&wait_ms={wait_ms}"
+    async def _call(self, line: _Line, revision: int | None, wait_ms: int) -> Listing:
+        target = _PATH if revision is None else f"{_PATH}?after={revision}&wait_ms={wait_ms}"
         async with asyncio.timeout(wait_ms / 1000 + CALL_TIMEOUT):
             answer = await line.get(target)
         if answer.status != 200:
             raise BadAnswerError(f"status {answer.status}")
         listing = await self._read(answer.body)
-        if not listing.complete and (self._revision is None or listing.revision < self._revision):
-            raise ValueError(f"changes up to {listing.revision} do not follow on {self._revision}")
+        if not listing.complete and (revision is None or listing.revision < revision):
+            raise ValueError(f"changes up to {listing.revision} do not follow on {revision}")
         return listing
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -145,8 +145,8 @@
             self._guard(number, request, remaining)
             self._post(face.BodyEnded(number, remaining * 1000))
 
-    def told(self, event: face.Detached | face.Attached | face.Inherited) -> None:
-        """An operator's word on a server, or what an older version has learned."""
+    def told(self, event: face.Detached | face.Attached | face.Inherited | face.ListMoved) -> None:
+        """An operator's word on a server, what an older version has learned, or that the list has moved."""
         self._post(event)
 
     def learned(self) -> face.Inherited:
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -11,6 +11,7 @@
 from passpost.engine import Engine
 from passpost.host import HOST, Host
 from passpost.upstream import Upstreams
+from umberworks.interface import ListMoved
 from umberworks.rules import Balancer
 
 log = logging.getLogger("passpost")
@@ -60,7 +61,8 @@
         if later := [name for name in changed if name not in ("discovery", "known", "seed")]:
             log.warning("configuration: a change of %s waits for a restart", ", ".join(later))
         self._config = config
-        self.discovery.move(config.discovery)
+        if self.discovery.move(config.discovery):
+            self.engine.told(ListMoved())
 
     def reload_failed(self) -> None:
         """A configuration could not be used; for nodes that count."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,6 +19,7 @@
     Settings,
 )
 from umberworks.rules import Balancer
+from umberworks.servers import Server
 
 READ = RequestClass("read", 1_000, 3_000, Effect.REPEATABLE)
 ORDER = RequestClass("order", 1_000, 3_000, Effect.KEYED, RepeatGroup.CELL, 2_000)
@@ -82,6 +83,11 @@
         return server
 
 
+def warm(server: Server, now: float) -> float:
+    """The warmth of a server that has run for long."""
+    return 1.0
+
+
 def sent(actions: list[Action]) -> list[Send]:
     return [a for a in actions if isinstance(a, Send)]
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -148,11 +148,12 @@
         await new.start()
         async with following(answer_json(listing(7, complete=False))) as (old, discovery, heard):
             await until(lambda: len(old.got) == 2)  # the watch is on
-            discovery.move(parse_address(skipped.host_port))
-            discovery.move(parse_address(new.host_port))
+            assert discovery.move(parse_address(skipped.host_port))
+            assert discovery.move(parse_address(new.host_port))
+            discovery.subscribe()
             assert set(heard.addresses) == {"a", "b"}  # they serve until the new list is there
             await until(lambda: len(new.got) == 2 and old.closed == 1)
-            discovery.move(parse_address(new.host_port))  # nothing to do
+            assert not discovery.move(parse_address(new.host_port))  # nothing to do
             assert heard.kinds == [ListKind.SAVED, ListKind.CHANGES, ListKind.WHOLE]
             assert set(heard.addresses) == {"c"}
             assert [got.line for got in new.got] == [
@@ -166,6 +167,37 @@
     run(test())
 
 
+def test_the_old_watch_goes_on_until_the_new_place_answers() -> None:
+    # Of hundreds that move together many wait for their turn there, and what the old place writes counts as told.
+    async def test() -> None:
+        told = asyncio.Event()
+
+        async def tell_late(request: Got, writer: Writer) -> None:
+            await told.wait()
+            writer.write(answer_json(listing(2, member("a", "127.0.0.1:1001", "leaving"), complete=False)))
+            told.clear()
+
+        busy, old = FakeServer(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), FakeServer(tell_late)
+        await busy.start()
+        await old.start()
+        heard = Heard()
+        discovery = Discovery(parse_address(old.host_port), parse_listing(SAVED))
+        discovery.start(heard)
+        discovery.subscribe()
+        await until(lambda: len(old.got) == 1)
+        assert discovery.move(parse_address(busy.host_port))
+        discovery.subscribe()
+        await until(lambda: heard.kinds == [ListKind.SAVED, ListKind.FAILED])
+        told.set()
+        await until(lambda: heard.kinds[2:] == [ListKind.CHANGES])
+        assert [m.readiness for m in heard.updates[2].members] == [Readiness.DRAINING]
+        discovery.stop()
+        busy.stop()
+        old.stop()
+
+    run(test())
+
+
 def test_with_discovery_down_at_the_start_the_saved_list_serves() -> None:
     def ask(data: dict[str, Any]) -> None:
         data["settings"]["discovery"] = "ask"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,19 @@
 
 from tests.helpers import READ, Desk, sent
 from umberworks.cold import LEAST_CORES
-from umberworks.interface import ListKind, Member, Outcome, Refuse, SetTimer, TimerDue
+from umberworks.interface import (
+    Action,
+    Event,
+    ListKind,
+    ListMoved,
+    ListUpdate,
+    Member,
+    Outcome,
+    Refuse,
+    SetTimer,
+    Subscribe,
+    TimerDue,
+)
 
 BALANCERS, SERVERS, TAKES_MS = 10, 16, 30.0
 COLD_MS, FACTOR, WINDOW_MS, COLD_FROM = 24_000.0, 3.0, 1_500.0, 0.15
@@ -108,3 +120,93 @@
         got = [sent(desk.ask()[1])[0].server for _ in range(8)]  # none has served yet: only their kinds tell
         fast += sum(name.startswith("fast") for name in got)
     assert fast >= 38, f"{fast} of 48 calls went to servers of the fast kind"
+
+
+class Queue:
+    """Discovery as one service: calls in turn, each takes its time, also one that nobody waits for any more."""
+
+    TURN_MS, TIMEOUT_MS = 25.0, 2_000.0
+
+    def __init__(self, desks: list[Desk], now: float) -> None:
+        self.desks, self.now, self.free_at = desks, now, now
+        self.due: list[tuple[float, int, Event]] = []
+        self.told: set[int] = set()
+        self.failed = 0
+        for i, desk in enumerate(desks):
+            self.take(i, desk.log)
+
+    def take(self, i: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SetTimer) and action.token == "list":
+                self.due.append((action.at_ms, i, TimerDue("list")))
+            elif isinstance(action, Subscribe):
+                self.free_at = max(self.free_at, self.now) + self.TURN_MS
+                if self.free_at - self.now <= self.TIMEOUT_MS:
+                    self.due.append((self.free_at, i, ListUpdate(ListKind.CHANGES)))
+                else:
+                    self.due.append((self.now + self.TIMEOUT_MS, i, ListUpdate(ListKind.FAILED)))
+
+    def run(self, ms: float) -> None:
+        end = self.now + ms
+        while self.due and min(self.due, key=lambda d: d[0])[0] <= end:
+            entry = min(self.due, key=lambda d: d[0])
+            self.due.remove(entry)
+            self.now, i, event = entry
+            if isinstance(event, ListUpdate):
+                self.failed += event.kind is ListKind.FAILED
+                if event.kind is not ListKind.FAILED:
+                    self.told.add(i)
+            self.desks[i].now = self.now
+            self.take(i, self.desks[i].tell(event))
+        self.now = end
+
+
+def test_many_balancers_that_start_at_once_all_get_the_list() -> None:
+    # In step, all but the first 80 calls wait too long, and those that repeat them keep the line that long for good.
+    desks = [Desk(4, seed, balancers=200, list_is_asked=True) for seed in range(200)]
+    queue = Queue(desks, 1_000.0)
+    queue.run(12_000.0)
+    assert len(queue.told) == 200
+    assert queue.failed < 100
+
+
+def test_many_balancers_whose_watches_end_at_once_ask_again_spread() -> None:
+    desks = [Desk(4, seed, balancers=200, list_is_asked=True) for seed in range(200)]
+    queue = Queue(desks, 1_000.0)
+    queue.run(12_000.0)
+    queue.told.clear()
+    queue.failed = 0
+    for i, desk in enumerate(desks):
+        desk.now = queue.now
+        queue.take(i, desk.tell(ListUpdate(ListKind.FAILED)))
+    queue.run(20_000.0)
+    assert len(queue.told) == 200
+    assert queue.failed < 100
+
+
+def test_many_balancers_that_are_moved_together_ask_spread() -> None:
+    desks = [Desk(4, seed, balancers=200, list_is_asked=True) for seed in range(200)]
+    queue = Queue(desks, 1_000.0)
+    queue.run(12_000.0)
+    queue.told.clear()
+    queue.failed = 0
+    for i, desk in enumerate(desks):
+        desk.now = queue.now
+        queue.take(i, desk.tell(ListMoved()))
+    queue.run(12_000.0)
+    assert len(queue.told) == 200
+    assert queue.failed < 100
+
+
+def test_few_balancers_ask_at_once() -> None:
+    desk = Desk(4, balancers=7, list_is_asked=True)
+    assert Subscribe() in desk.log
+    assert Subscribe() in desk.tell(ListMoved())
+
+
+def test_no_pause_lasts_until_a_balancer_counts_as_told() -> None:
+    for seed in range(50):
+        desk = Desk(4, seed, balancers=1_000, list_is_asked=True, ask_within_ms=10_000)
+        for _ in range(12):
+            for action in desk.tell(ListUpdate(ListKind.FAILED)):
+                assert not isinstance(action, SetTimer) or action.at_ms - desk.now + 2_000 < 10_000
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tests import plain
-from tests.helpers import ANYWHERE, PAY, READ, Desk, sent
+from tests.helpers import ANYWHERE, PAY, READ, Desk, sent, warm
 from umberworks.interface import ListKind, Member, Outcome, Readiness, RequestArrived
 from umberworks.requests import Attempt, Request
 from umberworks.rules import FEW, WALK, Balancer
@@ -190,7 +190,7 @@
 
     @rule(rank=st.floats(0, 1, exclude_max=True), size=st.sampled_from([1.0, 0.2, 3.0, 8.0]))
     def enters(self, rank: float, size: float) -> None:
-        server = Server(Member("s", readiness=Readiness.READY), self.now, rank)
+        server = Server(Member("s", readiness=Readiness.READY), self.now, rank, warm)
         server.size = size
         self.fleet.enter(server, self.usual, self.now)
 
@@ -266,7 +266,7 @@
 def test_a_table_s_last_sum_is_at_least_all_capacities(rates: list[float], usual: float) -> None:
     draws, whole = Draws(), 0.0
     for rate in rates:
-        server = Server(Member("s"), 0.0, 0.5)
+        server = Server(Member("s"), 0.0, 0.5, warm)
         server.served, server.busy = 10.0, 10.0 / rate
         draws.put(server, usual)
         whole += server.capacity(usual, 0.0)
@@ -276,7 +276,7 @@
 
 @given(st.lists(st.floats(0.01, 3_000), min_size=1, max_size=30), st.integers(0, 5))
 def test_evidence_brought_up_at_once_is_that_of_many_steps(gaps: list[float], out: int) -> None:
-    at_once, stepwise = Server(Member("s"), 0.0, 0.5), Server(Member("s"), 0.0, 0.5)
+    at_once, stepwise = Server(Member("s"), 0.0, 0.5, warm), Server(Member("s"), 0.0, 0.5, warm)
     now = 0.0
     for server in (at_once, stepwise):
         server.served, server.busy, server.in_flight = 7.0, 90.0, out
--- a/umberworks/interface.py
+++ b/umberworks/interface.py
@@ -182,6 +182,11 @@
     members: tuple[Member, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListMoved:
+    """The list is to be asked for elsewhere from now on; whatever was asked before is of no more use."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A client's request; exactly one final answer is owed within `remaining_ms`.
@@ -298,6 +303,7 @@
     | RequestArrived
     | BodyEnded
     | BodySpent
+    | ListMoved
     | AnswerStarted
     | AttemptEnded
     | ClientLeft
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -20,7 +20,7 @@
 from umberworks.kinds import Kinds
 from umberworks.requests import Attempt, Request, Tries
 from umberworks.rest import Rest
-from umberworks.room import RATE_MEMORY_MS, Room
+from umberworks.room import MANY, RATE_MEMORY_MS, Room
 from umberworks.servers import MEMORY_MS, Fleet, Pick, Server
 from umberworks.shares import Shares
 
@@ -39,6 +39,7 @@
 RETRY_BURST = 10.0  # further attempts that may be saved up
 PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
 LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
+LIST_TURN_MS = 50.0  # that discovery may take for a call: many that ask in step keep its line full for good
 
 
 class Balancer:
@@ -47,9 +48,8 @@
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self._settings = settings
         self._classes = {c.name: c for c in settings.classes}
-        self._random = random.Random(seed)
+        self._random, self._fleet = random.Random(seed), Fleet()
         self._servers: dict[str, Server] = {}
-        self._fleet = Fleet()
         self._detached: set[str] = set()  # by operators; whatever the list says
         self._back: list[Server] = []  # put back by hand, and nothing served since
         self._leaving: dict[str, Server] = {}  # not ready any more, with calls out
@@ -63,6 +63,8 @@
         self._tries = {c.name: Tries() for c in settings.classes}
         self._median, self._median_at, self._cold = 0.0, -math.inf, Cold(settings)
         self._shares = Shares(settings.tenants, settings.balancers)
+        spread = LIST_TURN_MS * settings.balancers * (settings.balancers > MANY)
+        self._list_span = min(spread, settings.ask_within_ms / 2)  # and half as long again at the most
         self._asked, self._counted, self._sliver, self._list_failures = False, False, False, 0
         self._refusing_until = -math.inf
         self._actions: list[face.Action] = []
@@ -70,9 +72,10 @@
     def handle(self, event: face.Event, now: float) -> list[face.Action]:
         """Take one event at time `now` and return what to do, in order."""
         self._actions = []
-        if self._settings.list_is_asked and not self._asked:
+        if self._settings.list_is_asked and (isinstance(event, face.ListMoved) or not self._asked):
             self._asked = True
-            self._actions.append(face.Subscribe())
+            wait = self._list_span and self._list_span * self._random.random()
+            self._actions.append(face.SetTimer(now + wait, "list") if wait else face.Subscribe())
         self._books.release(now)
         self._room.catch_up(now)
         self._now = max(self._now, now)
@@ -110,6 +113,7 @@
         if event.kind is ListKind.FAILED:
             # The list is out of reach: the old one stands; ask again, not all balancers in step.
             pause = min(LIST_RETRY_MS * 2 ** min(self._list_failures, 9), self._settings.ask_within_ms / 3)
+            pause = max(pause, self._list_span)
             self._list_failures += 1
             if self._list_failures == 1:
                 self._actions.append(face.Log("server list out of reach; keeping the last one"))
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -26,8 +26,7 @@
 RISE = 2.0  # bounds hold until the usual capacity has risen by this
 
 
-def _warm(server: Server, now: float) -> float:
-    return 1.0
+Warmth = Callable[["Server", float], float]
 
 
 class Server:
@@ -64,9 +63,7 @@
         "warmth",
     )  # fmt: skip
 
-    def __init__(
-        self, member: face.Member, now: float, rank: float, warmth: Callable[[Server, float], float] = _warm
-    ) -> None:
+    def __init__(self, member: face.Member, now: float, rank: float, warmth: Warmth) -> None:
         self.member, self.rank, self.size = member, rank, 1.0
         self.warmth = warmth  # of a server at a moment: the part that it has of its capacity at the least
         self.listed, self.fit, self.heard = False, False, now  # ready by the list; and nobody took it out
