Calls for the list are heard out: what discovery writes at its own bound no longer goes unheard

Cause, as far as shown: passpost/discovery.py gave up a call for the list 2.000 s after it was begun (CALL_TIMEOUT), which is also how long discovery lets a call wait for its turn. After a move its line is that long for seconds; the last calls that it takes are answered at 2.000 to 2.003 s, which counts as told, and nobody listens any more. The next call came 2.5 to 7.5 s later (rules._listed), and until then the balancer sent to what had left.

Change: a call that may not wait is heard out for the 6 s after which its news counts as told (PROTOCOL), less where askWithin is short; the connection has 2 s. What is said of a failed call tells how long ago the last one was that counts, and umberworks/asking.py, the one place for these pauses, has the next come within askWithin of it.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Callable
 
+from passpost.host import HOST
 from passpost.http1 import Address, Answer, AnswerReader, BadAnswerError
 from passpost.listing import Listing, parse_listing
 from umberworks.interface import ListKind, ListUpdate, Member, Readiness
@@ -15,7 +16,12 @@
 
 POLL_S = 0.05  # a pushed list is looked at this often: its agent is on this machine and answers at no cost
 WATCH_MS = 10_000  # how long a watch may wait: a silent discovery is noticed this late, plus the time-out
-CALL_TIMEOUT = 2.0  # for the answer, beyond the wait that was asked for
+# Until when an answer is worth waiting for. What it brings counts as told 6 s after the call at the latest, and where
+# the call may wait 2 s after that wait (PROTOCOL, "Figures"). To give up sooner is to be told unheard: of many that ask
+# at once discovery answers the last just before it would turn them away, and works off calls whose callers have gone.
+ANSWER_S, AFTER_WAIT_S = 6.0, 2.0
+SPARE_S = 0.5  # more than discovery's own bound on a call that waits its turn, if `ask_within` leaves little
+CONNECT_S = 2.0  # for the connection, and for an agent on this machine
 MAX_LIST = 4 * 1024 * 1024
 LONG_LIST = 16 * 1024  # bytes of a list from which it is read in slices, some 100 members
 
@@ -31,12 +37,17 @@
         self._address = address
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def get(self, target: str) -> Answer:
-        """The answer to one call."""
+    async def get(self, target: str, within: float, sent: Callable[[], None]) -> Answer:
+        """The answer to one call, so many seconds after it went out; `sent` is told when that is."""
         if self._stream is None or self._stream[0].at_eof():
             self.hang_up()
-            self._stream = await asyncio.open_connection(*self._address)
-        reader, writer = self._stream
+            async with asyncio.timeout(CONNECT_S):
+                self._stream = await asyncio.open_connection(*self._address)
+        sent()
+        async with asyncio.timeout(within):
+            return await self._ask(*self._stream, target)
+
+    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, target: str) -> Answer:
         writer.write(f"GET {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode())
         parser = AnswerReader(MAX_LIST)
         while (data := await reader.read(65536)) != b"":
@@ -80,8 +91,19 @@
     lies there counts as told, so that it is looked at again and again.
     """
 
-    def __init__(self, address: Address, known: Listing | None, pushed: bool = False) -> None:
-        self._pushed = pushed
+    def __init__(
+        self,
+        address: Address,
+        known: Listing | None,
+        pushed: bool = False,
+        ask_within: float = 10.0,
+        monotonic: Callable[[], float] = HOST.monotonic,
+    ) -> None:
+        """`ask_within`: seconds after which a balancer that neither watched nor asked counts as told."""
+        self._pushed, self._monotonic = pushed, monotonic
+        # Another call is due within `ask_within` of this one, so that the answer has to come well before that.
+        self._patience = max(min(ANSWER_S, 0.6 * ask_within), AFTER_WAIT_S + SPARE_S)
+        self._counted = monotonic()  # when we last watched or asked in a way that surely counts
         self._stopped = False
         self._silent = False  # the agent has not answered lately; said once
         self._known = known or Listing(0, False, (), {})
@@ -132,6 +154,9 @@
         self._leave_old()
         self._place.leave()
 
+    def _counts(self) -> None:
+        self._counted = self._monotonic()
+
     def _leave_old(self) -> None:
         old, self._old = self._old, None
         if old is not None:
@@ -174,7 +199,8 @@
         elif self._pushed:
             asyncio.get_running_loop().call_later(POLL_S, self._again)
         else:
-            self._tell(ListUpdate(ListKind.FAILED), self._addresses)
+            unheard = (self._monotonic() - self._counted) * 1000
+            self._tell(ListUpdate(ListKind.FAILED, unheard_ms=unheard), self._addresses)
 
     def _again(self) -> None:
         """Look at the agent again, unless it was stopped or moved meanwhile."""
@@ -223,8 +249,13 @@
 
     async def _call(self, line: _Line, revision: int | None, wait_ms: int) -> Listing:
         target = _PATH if revision is None else f"{_PATH}?after={revision}&wait_ms={wait_ms}"
-        async with asyncio.timeout(wait_ms / 1000 + CALL_TIMEOUT):
-            answer = await line.get(target)
+        within = wait_ms / 1000 + AFTER_WAIT_S if wait_ms else CONNECT_S if self._pushed else self._patience
+        try:
+            answer = await line.get(target, within, self._counts)
+        except (ConnectionResetError, EOFError):
+            self._counts()  # a call that is cut off has failed, and was made; a watch went on until now
+            raise
+        self._counts()
         if answer.status != 200:
             raise BadAnswerError(f"status {answer.status}")
         listing = await self._read(answer.body)
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -40,7 +40,14 @@
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, int(config.sockets * UPSTREAMS_SHARE), host
         )
-        self.discovery = Discovery(config.discovery, config.known, not config.settings.list_is_asked)
+        settings = config.settings
+        self.discovery = Discovery(
+            config.discovery,
+            config.known,
+            not settings.list_is_asked,
+            settings.ask_within_ms / 1000,
+            host.monotonic,
+        )
         self.engine = engine(
             config.settings,
             config.seed,
--- a/passpost/operator/sources.py
+++ b/passpost/operator/sources.py
@@ -186,4 +186,5 @@
         case model.Discovered():
             address = split(source.address)
             assert address is not None  # checked
-            return Discovery(address, None, source.mode == "push")
+            asked = source.mode == "ask"
+            return Discovery(address, None, not asked, source.ask_within_ms / 1000, host.monotonic)
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -144,6 +144,7 @@
         "passpost.upstream",
         "passpost.validation",
         "umberworks",
+        "umberworks.asking",
         "umberworks.books",
         "umberworks.cold",
         "umberworks.crowd",
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -12,6 +12,7 @@
 from heapq import heapify, heappop, heappush
 
 from umberworks import interface as face
+from umberworks.asking import Asking
 from umberworks.books import Books
 from umberworks.cold import Cold
 from umberworks.crowd import Crowd
@@ -20,7 +21,7 @@
 from umberworks.kinds import Kinds
 from umberworks.requests import Attempt, Request, Tries
 from umberworks.rest import Rest
-from umberworks.room import MANY, RATE_MEMORY_MS, Room
+from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.servers import MEMORY_MS, Fleet, Pick, Server
 from umberworks.shares import Shares
 
@@ -38,8 +39,6 @@
 RETRY_SHARE = 0.2  # further attempts allowed for each first one, so that a failing fleet is not flooded
 RETRY_BURST = 10.0  # further attempts that may be saved up
 PATIENCE = 6.0  # mean times in service after which an answer is so late that a second copy is sent
-LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
-LIST_TURN_MS = 50.0  # that discovery may take for a call: many that ask in step keep its line full for good
 
 
 class Balancer:
@@ -63,9 +62,8 @@
         self._tries = {c.name: Tries() for c in settings.classes}
         self._median, self._median_at, self._cold = 0.0, -math.inf, Cold(settings)
         self._shares = Shares(settings.tenants, settings.balancers)
-        spread = LIST_TURN_MS * settings.balancers * (settings.balancers > MANY)
-        self._list_span = min(spread, settings.ask_within_ms / 2)  # and half as long again at the most
-        self._asked, self._counted, self._sliver, self._list_failures = False, False, False, 0
+        self._asking = Asking(settings, self._random)
+        self._asked, self._counted, self._sliver = False, False, False
         self._refusing_until = -math.inf
         self._actions: list[face.Action] = []
 
@@ -74,7 +72,7 @@
         self._actions = []
         if self._settings.list_is_asked and (isinstance(event, face.ListMoved) or not self._asked):
             self._asked = True
-            wait = self._list_span and self._list_span * self._random.random()
+            wait = self._asking.first()
             self._actions.append(face.SetTimer(now + wait, "list") if wait else face.Subscribe())
         self._books.release(now)
         self._room.catch_up(now)
@@ -111,16 +109,12 @@
 
     def _listed(self, event: face.ListUpdate, now: float) -> None:
         if event.kind is ListKind.FAILED:
-            # The list is out of reach: the old one stands; ask again, not all balancers in step.
-            pause = min(LIST_RETRY_MS * 2 ** min(self._list_failures, 9), self._settings.ask_within_ms / 3)
-            pause = max(pause, self._list_span)
-            self._list_failures += 1
-            if self._list_failures == 1:
+            if not self._asking.failures:
                 self._actions.append(face.Log("server list out of reach; keeping the last one"))
-            self._actions.append(face.SetTimer(now + pause * (0.5 + self._random.random()), "list"))
+            self._actions.append(face.SetTimer(now + self._asking.again(event.unheard_ms), "list"))
             return
-        if self._list_failures and event.kind is not ListKind.SAVED:
-            self._list_failures = 0
+        if self._asking.failures and event.kind is not ListKind.SAVED:
+            self._asking.failures = 0
             self._actions.append(face.Log("server list is back"))
         if event.kind is not ListKind.CHANGES:
             named = {m.server for m in event.members}
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -32,37 +32,6 @@
 class Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
-    __slots__ = (
-        "back_at",
-        "block_aims",
-        "block_calls",
-        "block_from",
-        "block_times",
-        "bucket",
-        "busy",
-        "carries",
-        "ceiling",
-        "counted",
-        "crowd",
-        "fit",
-        "heard",
-        "in_flight",
-        "index",
-        "last_sent",
-        "listed",
-        "live",
-        "member",
-        "rank",
-        "recent",
-        "recent_calls",
-        "rests_until",
-        "seen",
-        "served",
-        "size",
-        "usual_time",
-        "warmth",
-    )  # fmt: skip
-
     def __init__(self, member: face.Member, now: float, rank: float, warmth: Warmth) -> None:
         self.member, self.rank, self.size = member, rank, 1.0
         self.warmth = warmth  # of a server at a moment: the part that it has of its capacity at the least
