What the place before wrote is heard after a move; a first call for changes is a watch

Whoever moved dropped the call that was out at the old place in the moment in which the new place's list had come. What the old place had written by then counts as told; the new list was made before it, and the next call of the new place waits up to 2 s in line there or is turned away.

No late send was traced to it in a log: the window is some 3 ms for each balancer, and the change closes it.

Change (passpost/discovery.py): a place that another has followed is asked no more, but its last call is heard out; of that only servers that leave are taken over, unless they have started again since. Where a version of the list is held the first call is a watch at once: one turn in discovery's line in place of two.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -72,6 +72,9 @@
 
     def __init__(self, address: Address, revision: int | None) -> None:
         self.address, self.revision = address, revision
+        self.retired = (
+            False  # another place has answered since; what its last call brings is heard all the same
+        )
         self.task: asyncio.Task[None] | None = None
 
     def is_followed(self) -> bool:
@@ -109,6 +112,8 @@
         self._known = known or Listing(0, False, (), {})
         self._place = _Place(address, known.revision if known is not None else None)
         self._old: _Place | None = None  # followed on until the new place has answered
+        self._retired: set[_Place] = set()
+        self._applying = asyncio.Lock()  # two places may answer at once, and a long list takes some turns
         self._addresses: dict[str, Address] = {}
         self.members: dict[str, Member] = {}  # the list as it stands
         self._tell: Tell = lambda update, addresses: None
@@ -139,52 +144,60 @@
         if address == self._place.address:
             return False
         if self._place.is_followed():  # else it was never asked, and the one before it goes on
-            self._leave_old()
+            self._retire_old()
             self._old = self._place
         self._place = _Place(address, None)  # it may count its versions anew
         self._stopped, self._silent = False, False
         if self._pushed:
-            self._leave_old()
+            self._retire_old()
             self.subscribe()
         return True
 
     def stop(self) -> None:
         """Ask no more."""
         self._stopped = True
-        self._leave_old()
-        self._place.leave()
+        self._retire_old()
+        for place in (self._place, *self._retired):
+            place.leave()
 
     def _counts(self) -> None:
         self._counted = self._monotonic()
 
-    def _leave_old(self) -> None:
+    def _retire_old(self) -> None:
+        """Call no more at the place before; a call that is out there stays, as what it is answered counts as told."""
         old, self._old = self._old, None
-        if old is not None:
+        if old is None:
+            return
+        if self._pushed:
             old.leave()
+        elif old.is_followed():
+            old.retired = True
+            self._retired.add(old)
 
     async def _follow(self, place: _Place) -> None:
         line = _Line(place.address)
-        wait = 0  # the first answer comes at once, so that the module hears whether the list is back
+        wait, heard = 0, self._pushed
         try:
             while True:
+                if place.revision is not None and not self._pushed:
+                    wait = WATCH_MS  # the first call too: two cost discovery two turns, and either may be refused
                 listing = await self._call(line, place.revision, wait)
-                if place is self._place:
-                    self._leave_old()
-                first = wait == 0 and not self._pushed
-                if not (first or listing.complete or listing.members):
-                    pass  # nothing has changed
-                elif self._tell_part is not None and max(len(listing.members), len(self.members)) >= MANY:
-                    await self._apply_in_slices(listing, self._tell_part)
-                else:
-                    kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
-                    self._apply(listing, kind)
+                async with self._applying:
+                    if place.retired:
+                        self._take_away(listing)
+                        break
+                    if place is self._place:
+                        self._retire_old()
+                    if listing.complete or listing.members or not heard:
+                        await self._take(listing)  # the first in any case: the list is back
+                        heard = True
                 place.revision, self._silent = listing.revision, False
                 if self._pushed:
                     await asyncio.sleep(POLL_S)
-                else:
-                    wait = WATCH_MS
         except (OSError, TimeoutError, EOFError, BadAnswerError) as error:
-            if not self._silent:  # an agent is asked many times a second: one line until it is back
+            if not (
+                self._silent or place.retired
+            ):  # an agent is asked many times a second: one line until it is back
                 log.warning("discovery: %s: %s", type(error).__name__, error)
             self._silent = self._pushed
         except Exception as error:
@@ -193,6 +206,7 @@
             place.revision = None
         finally:
             line.hang_up()
+            self._retired.discard(place)
         place.task = None
         if place is not self._place:
             pass  # its successor is asked already, or about to be
@@ -207,6 +221,28 @@
         if not self._stopped:
             self.subscribe()
 
+    async def _take(self, listing: Listing) -> None:
+        """Take over an answer."""
+        if self._tell_part is not None and max(len(listing.members), len(self.members)) >= MANY:
+            await self._apply_in_slices(listing, self._tell_part)
+        else:
+            self._apply(listing, ListKind.WHOLE if listing.complete else ListKind.CHANGES)
+
+    def _take_away(self, listing: Listing) -> None:
+        """Of a place that is asked no more: servers that leave; the new place knows better what is there."""
+        away = []
+        for member in listing.members:
+            known = self.members.get(member.server)
+            if known is None or member.readiness is Readiness.READY or known.readiness is not Readiness.READY:
+                continue
+            if member.up_since_ms >= known.up_since_ms:  # else it has started again since
+                away.append(member)
+        if away:
+            addresses = {
+                m.server: self._addresses[m.server] for m in away if m.readiness is not Readiness.GONE
+            }
+            self._apply(Listing(listing.revision, False, tuple(away), addresses), ListKind.CHANGES)
+
     def _apply(self, listing: Listing, kind: ListKind) -> None:
         kept = {} if listing.complete else self._addresses
         left = {m.server for m in listing.members if m.readiness is Readiness.GONE}
