--- a/passpost/rehearsal/registry.py
+++ b/passpost/rehearsal/registry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,8 @@
 # as told once the agent has had it so long, and could be asked. Five times as long as the balancer's own pause.
 AGENT_S = 0.25
 AGAIN_S = 0.25  # a balancer that is cut off counts as told once it is no longer: looked at this often
+GOES_ON_S = 0.2  # a watch goes on while the next such call comes within this of the last answer
+FAILED_TIMES = 4  # as long may pass after a call that failed
 OLD_CLOSES_S = 1.5  # after a move the old address closes its open connections this late
 
 
@@ -44,13 +47,17 @@
         registry.connections[self] = None
         self.watch_timer: asyncio.TimerHandle | None = None
         self.after = 0
+        self.is_cut = False
+        self.watched_at = -math.inf  # when a watch was last answered here
 
     def request_came(self, request: Request) -> None:
         self.registry.call(self, request)
 
     def gone(self) -> None:
         self.registry.connections.pop(self, None)
-        self.registry.watchers.pop(self, None)
+        if self in self.registry.watchers:
+            del self.registry.watchers[self]
+            self.registry.unwatched(self.balancer)
         if self.watch_timer is not None:
             self.watch_timer.cancel()
 
@@ -80,6 +87,8 @@
         self.watchers: dict[_Connection, None] = {}
         self._closers: dict[str, Callable[[], None]] = {}
         self._running: dict[str, float] = {}  # balancers that run, each with when it started
+        # Of each, from when on it neither watches nor asks, and how often as long that may be.
+        self._unasked: dict[str, tuple[float, int]] = {}
         self.reachable: Callable[[str, float], bool] = lambda balancer, since: True
 
     # ---- what happens to nodes
@@ -106,8 +115,14 @@
         entry.revision = self.revision
         self.entries[entry.node] = entry
         loop = asyncio.get_running_loop()
-        if entry.phase != "active":
-            loop.call_later(self._ask_within, self._counts_as_told, entry)
+        for balancer in self._running:
+            if entry.phase != "active" and self._tier_of(balancer) == entry.tier:
+                loop.call_later(
+                    self._ask_within, self._counts_as_told, entry, balancer, self._running[balancer]
+                )
+        for connection in self.connections:
+            if connection.watched_at >= self.stage.now() - GOES_ON_S and connection not in self.watchers:
+                self._tell(connection.balancer, entry)  # what changes between two calls of a watch
         if self._settings.mode == "push" and not self.down:
             loop.call_later(AGENT_S, self._sent, entry, self._up_since)
         for connection in list(self.watchers):
@@ -121,17 +136,28 @@
             if self._tier_of(balancer) == entry.tier:
                 self._tell(balancer, entry)
 
-    def _counts_as_told(self, entry: Entry) -> None:
-        """A balancer that has not asked for so long counts as told, if it could have asked."""
-        if self.entries.get(entry.node) is not entry or self.down or self._up_since > self._since():
+    def _counts_as_told(self, entry: Entry, balancer: str, life: float) -> None:
+        """Who has neither watched nor asked for so long counts as told, if it could have asked.
+
+        One that has asked since it was noticed has been told, or its call has failed.
+        """
+        if self._running.get(balancer) != life or self.entries.get(entry.node) is not entry:
+            return
+        if any(c.balancer == balancer for c in self.watchers):
             return
-        for balancer, started in self._running.items():
-            asks = started < self._since() and self._tier_of(balancer) == entry.tier
-            if asks and self.reachable(balancer, self._since()):
-                self._watch.told(self.stage.now(), balancer, entry.node, False, entry.started)
+        now, (unasked, times) = self.stage.now(), self._unasked.get(balancer, (life, 1))
+        due = unasked + times * self._ask_within
+        if self.down or self._up_since > now - self._ask_within or not self.reachable(balancer, due):
+            due = max(due, now + AGAIN_S)
+        if due > now + 1e-6:
+            loop = asyncio.get_running_loop()
+            loop.call_later(due - now, self._counts_as_told, entry, balancer, life)
+        else:
+            self._watch.told(now, balancer, entry.node, False, entry.started)
 
-    def _since(self) -> float:
-        return self.stage.now() - self._ask_within
+    def unwatched(self, balancer: str, failed: bool = False) -> None:
+        """A balancer neither watches nor asks from now on; `failed`: its call has."""
+        self._unasked[balancer] = (self.stage.now(), FAILED_TIMES if failed else 1)
 
     # ---- who asks
 
@@ -141,13 +167,21 @@
         if (old := self._closers.pop(balancer, None)) is not None:
             old()
             for connection in [c for c in self.connections if c.balancer == balancer]:
-                asyncio.get_running_loop().call_later(OLD_CLOSES_S, connection.abort)
+                asyncio.get_running_loop().call_later(OLD_CLOSES_S, self._cut, connection)
         self._closers[balancer] = close
         return got
 
+    def _cut(self, connection: _Connection) -> None:
+        """Ends a connection itself: a call that is out there has failed, and is told nothing any more."""
+        connection.is_cut = True
+        if connection.transport is not None:
+            connection.abort()
+            self.unwatched(connection.balancer, failed=True)
+
     def balancer_started(self, balancer: str) -> dict[str, Any]:
         """A balancer starts: it knows the list of now, which counts as told."""
         self._running[balancer] = self.stage.now()
+        self.unwatched(balancer)
         return self._listing(balancer, None)
 
     def balancer_ended(self, balancer: str) -> None:
@@ -171,6 +205,7 @@
 
     def _drop(self, connection: _Connection) -> None:
         self.watchers.pop(connection, None)
+        self.unwatched(connection.balancer, failed=True)
         if self._random.random() < 0.5:
             connection.reply(503, close=True)
         else:
@@ -183,22 +218,27 @@
             return
         if self._settings.mode == "push":
             if not self.down:
-                self._answer(connection, request)
+                self._answer(connection, request, self._running.get(connection.balancer))
             return  # an agent that is cut off from its service is silent
         if self.down:
             self._drop(connection)
             return
-        now = self.stage.now()
+        now, life = self.stage.now(), self._running.get(connection.balancer)
+        self.unwatched(connection.balancer)
+        if "wait_ms" in request.query and connection.watched_at >= now - GOES_ON_S:
+            self._answer(connection, request, life)
+            return
         turn = max(self._next_turn, now)
         if turn - now > LINE_TIMEOUT_S:
+            self.unwatched(connection.balancer, failed=True)
             connection.reply(503, close=True)
             return
         self._next_turn = turn + 1 / self._settings.calls_per_s
-        asyncio.get_running_loop().call_later(turn - now, self._answer, connection, request)
+        asyncio.get_running_loop().call_later(turn - now, self._answer, connection, request, life)
 
-    def _answer(self, connection: _Connection, request: Request) -> None:
-        if connection.transport is None:
-            return
+    def _answer(self, connection: _Connection, request: Request, life: float | None) -> None:
+        if connection.is_cut or life is None or self._running.get(connection.balancer) != life:
+            return  # but a call whose caller has hung up is worked off, and what it is told counts
         if self.down:
             if self._settings.mode == "ask":
                 self._drop(connection)
@@ -213,7 +253,7 @@
         if self._settings.mode == "push":
             wait = 0.0  # an agent answers at once
         self.watchers[connection] = None
-        if after < self.revision or wait <= 0:
+        if after < self.revision or wait <= 0 or connection.transport is None:
             self._answer_watch(connection, at_once=True)
             return
         timer = asyncio.get_running_loop().call_later(wait, self._answer_watch, connection, True)
@@ -226,13 +266,16 @@
         news = any(e.revision > connection.after and e.tier == tier for e in self.entries.values())
         if news or at_once:
             del self.watchers[connection]
+            self.unwatched(connection.balancer)
+            connection.watched_at = self.stage.now()
             if connection.watch_timer is not None:
                 connection.watch_timer.cancel()
             self._write(connection, connection.after)
 
     def _write(self, connection: _Connection, after: int | None) -> None:
+        body = json.dumps(self._listing(connection.balancer, after)).encode()
         if connection.transport is not None:
-            connection.reply(200, json.dumps(self._listing(connection.balancer, after)).encode())
+            connection.reply(200, body)
 
     def _tell(self, balancer: str, entry: Entry) -> None:
         """An entry is written to a balancer: it counts as told once that can have reached it."""
