No bound under 1,024 on what two versions hand on, or on balancers of a rehearsal

Found: umberworks/inherit.py MOST was 1,000 servers; passpost/ops/handover.py dropped any line of 150,000 bytes or more, and of a shorter one what the socket did not take at once; the live rehearsal refused over 64 balancers, a script over 1,000 in its first tier.

Change: 4,096 servers, lines of up to 4 MB written as the other side reads them and read 64 KB at a time (a buffer of MAX_LINE was asked for at each read), 1,024 and 10,000 balancers.

--- a/passpost/ops/handover.py
+++ b/passpost/ops/handover.py
@@ -22,7 +22,8 @@
 
 ASK_S = 2.0  # a running process that does not answer within this is taken for dead
 GREETING = b"passpost 1\n"  # and the descriptor with it
-MAX_LINE = 150_000  # fits in a socket's buffer, so that nobody waits
+MAX_LINE = 4 * 1024 * 1024  # bytes; 4,096 servers with long names come to a tenth of it
+READ_AT_ONCE = 65_536
 
 
 class Shared(Host):
@@ -58,19 +59,33 @@
         said: Callable[[bytes], None] = lambda line: None,
     ) -> None:
         self._connection, self._ended, self._said = connection, ended, said
-        self._line = bytearray()
+        self._line, self._out = bytearray(), bytearray()
         connection.setblocking(False)
         asyncio.get_running_loop().add_reader(connection, self._read)
 
     def say(self, line: bytes) -> None:
         """Tell the other version something it can do without."""
-        if len(line) < MAX_LINE:
-            with contextlib.suppress(OSError):  # it has gone, or has not read the last line
-                self._connection.send(line + b"\n")
+        if len(line) < MAX_LINE and self._connection.fileno() >= 0:
+            self._out += line + b"\n"
+            self._write()
+
+    def _write(self) -> None:
+        """Write what the socket takes; a long line waits here for the other side to read."""
+        loop = asyncio.get_running_loop()
+        try:
+            del self._out[: self._connection.send(self._out)]
+        except BlockingIOError:
+            pass
+        except OSError:  # it has gone, which the reader hears too
+            self._out.clear()
+        if self._out:
+            loop.add_writer(self._connection, self._write)
+        else:
+            loop.remove_writer(self._connection)
 
     def _read(self) -> None:
         try:
-            if data := self._connection.recv(MAX_LINE):
+            if data := self._connection.recv(READ_AT_ONCE):
                 self._line += data
                 while b"\n" in self._line:
                     line, _, self._line = self._line.partition(b"\n")
@@ -89,6 +104,7 @@
         """Let go; the other side hears it."""
         if self._connection.fileno() >= 0:
             asyncio.get_running_loop().remove_reader(self._connection)
+            asyncio.get_running_loop().remove_writer(self._connection)
             self._connection.close()
 
 
--- a/passpost/rehearsal/live.py
+++ b/passpost/rehearsal/live.py
@@ -35,7 +35,7 @@
 T = TypeVar("T")
 
 LOOK_S = 0.02  # how soon the end of a balancer is seen
-MOST_BALANCERS = 64  # processes on one machine
+MOST_BALANCERS = 1_024  # processes on one machine, of some 20 MB each
 
 
 class UnplayableError(Exception):
--- a/passpost/rehearsal/model.py
+++ b/passpost/rehearsal/model.py
@@ -113,7 +113,7 @@
 
     name: Name
     kinds: Annotated[tuple[Kind, ...], Meta(min_length=1)]
-    balancers: Annotated[int, Meta(ge=1, le=1_000)] = 1  # first tier only
+    balancers: Annotated[int, Meta(ge=1, le=10_000)] = 1  # first tier only
     part: Annotated[float, Meta(gt=0, le=1)] = 1.0  # of a request's work done here
     calls: tuple[Annotated[int, Meta(ge=0, le=20)], Annotated[int, Meta(ge=0, le=20)]] = (
         1,
--- a/umberworks/inherit.py
+++ b/umberworks/inherit.py
@@ -8,7 +8,7 @@
 from umberworks.room import Room
 from umberworks.servers import Server
 
-MOST = 1_000  # servers told of, those with the most evidence; of more, each balancer keeps to few
+MOST = 4_096  # servers told of, those with the most evidence: more would hold up requests for over 10 ms
 
 
 def told(room: Room, servers: Iterable[Server], now: float) -> face.Inherited:
