--- a/passpost/__main__.py
+++ b/passpost/__main__.py
@@ -50,18 +50,20 @@
     if config.ops is None:
         if not traced:
             return Node(config, module=module)
+        from passpost.trace.discovery import TracedDiscovery
         from passpost.trace.engine import TracedEngine
 
-        return Node(config, module=module, engine=TracedEngine)
+        return Node(config, module=module, engine=TracedEngine, discovery=TracedDiscovery)
     from passpost.ops import node
 
     folder = node.folder()
     taken = node.take_over(config, folder)
     if not traced:
         return node.OperatedNode(config, folder, taken, module)
+    from passpost.trace.discovery import TracedDiscovery
     from passpost.trace.engine import TracedCountingEngine
 
-    return node.OperatedNode(config, folder, taken, module, TracedCountingEngine)
+    return node.OperatedNode(config, folder, taken, module, TracedCountingEngine, TracedDiscovery)
 
 
 def chosen_module() -> type[Balancer]:
--- a/passpost/cli/logs.py
+++ b/passpost/cli/logs.py
@@ -12,7 +12,7 @@
 
 from passpost.cli.command import UnusableError
 from passpost.trace.folder import NoTraceError, steps
-from passpost.trace.tables import Row, Step, add_up, follow
+from passpost.trace.tables import Row, Step, add_up, around, follow
 
 MOST_ROWS = 20  # of upstreams, unless all are asked for
 
@@ -20,17 +20,31 @@
 @click.command(name="logs")
 @click.argument("folder", type=click.Path(path_type=Path), metavar="FOLDER")
 @click.option("--follow", "txn", metavar="ID", help="Only the request with this X-Txn, balancer by balancer.")
+@click.option(
+    "--server", metavar="ID", help="What was heard of this server's leaving, and what went out to it."
+)
+@click.option(
+    "--balancer", metavar="NAME", help="With --server: only this one's sends, and its calls for the list."
+)
 @click.option(
     "--all", "whole", is_flag=True, help=f"All upstreams, not only the {MOST_ROWS} that failed most."
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-def command(folder: Path, txn: str | None, whole: bool, as_json: bool) -> int:
+def command(
+    folder: Path, txn: str | None, server: str | None, balancer: str | None, whole: bool, as_json: bool
+) -> int:
     """Add up what PASSPOST_TRACE=1 made the balancers write into FOLDER/*.log.
 
     Prints requests by second, by the reason for which they were not served, and attempts by upstream. Exit status: 0
-    fine, 1 if no balancer has written of the request to follow, 2 if there is no folder or no such lines in it.
+    fine, 1 if no balancer has written of the request or the server, 2 if there is no folder or no such lines in it.
     """
+    if balancer is not None and server is None:
+        raise UnusableError("--balancer goes with --server")
+    if txn is not None and server is not None:
+        raise UnusableError("--follow and --server don't go together")
     try:
+        if server is not None:
+            return _around(folder, server, balancer, as_json)
         return _follow(folder, txn, as_json) if txn is not None else _add_up(folder, whole, as_json)
     except NoTraceError as error:
         raise UnusableError(str(error)) from None
@@ -72,6 +86,19 @@
     return 0 if parts else 1
 
 
+def _around(folder: Path, server: str, balancer: str | None, as_json: bool) -> int:
+    moments = around(steps(folder), server, balancer)
+    if as_json:
+        click.echo(json.dumps([asdict(moment) for moment in moments], indent=1))
+    elif not moments:
+        click.echo(f"no balancer has written of {server}")
+    else:
+        for one in moments:
+            late = f" [{one.late_ms} ms after it was first heard]" if one.late_ms else ""
+            click.echo(f"{one.at_ms} ms {one.balancer}: {one.text}{late}")
+    return 0 if moments else 1
+
+
 def _told(step: Step) -> dict[str, object]:
     entry = step.entry
     return {"balancer": step.balancer, **asdict(entry), "end": entry.end.value}
--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -30,11 +30,11 @@
 _PATH = "/registry/instances"
 
 
-class _Line:
+class Line:
     """A connection to discovery, kept for call after call."""
 
     def __init__(self, address: Address) -> None:
-        self._address = address
+        self.address = address
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def get(self, target: str, within: float, sent: Callable[[], None]) -> Answer:
@@ -42,13 +42,13 @@
         if self._stream is None or self._stream[0].at_eof():
             self.hang_up()
             async with asyncio.timeout(CONNECT_S):
-                self._stream = await asyncio.open_connection(*self._address)
+                self._stream = await asyncio.open_connection(*self.address)
         sent()
         async with asyncio.timeout(within):
             return await self._ask(*self._stream, target)
 
     async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, target: str) -> Answer:
-        writer.write(f"GET {target} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode())
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n".encode())
         parser = AnswerReader(MAX_LIST)
         while (data := await reader.read(65536)) != b"":
             if (answer := parser.feed(data)) is not None:
@@ -175,7 +175,7 @@
             self._retired.add(old)
 
     async def _follow(self, place: _Place) -> None:
-        line = _Line(place.address)
+        line = Line(place.address)
         wait, heard = 0, self._pushed
         try:
             while True:
@@ -283,7 +283,7 @@
         assert reading.listing is not None
         return reading.listing
 
-    async def _call(self, line: _Line, revision: int | None, wait_ms: int) -> Listing:
+    async def _call(self, line: Line, revision: int | None, wait_ms: int) -> Listing:
         target = _PATH if revision is None else f"{_PATH}?after={revision}&wait_ms={wait_ms}"
         within = wait_ms / 1000 + AFTER_WAIT_S if wait_ms else CONNECT_S if self._pushed else self._patience
         try:
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -35,13 +35,14 @@
         host: Host = HOST,
         module: type[Balancer] = Balancer,
         engine: type[Engine] = Engine,
+        discovery: type[Discovery] = Discovery,
     ) -> None:
         self._config = config
         self.upstreams = Upstreams(
             config.connect_timeout, config.idle_timeout, int(config.sockets * UPSTREAMS_SHARE), host
         )
         settings = config.settings
-        self.discovery = Discovery(
+        self.discovery = discovery(
             config.discovery,
             config.known,
             not settings.list_is_asked,
--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -12,6 +12,7 @@
 from typing import cast
 
 from passpost.config import Config
+from passpost.discovery import Discovery
 from passpost.host import HOST
 from passpost.node import Node
 from passpost.ops import handover, heritage, rules
@@ -43,6 +44,7 @@
         taken: handover.Taken | None = None,
         module: type[Balancer] = Balancer,
         engine: type[CountingEngine] = CountingEngine,
+        discovery: type[Discovery] = Discovery,
     ) -> None:
         assert config.ops is not None
         stem = None if folder is None else _stem(config, folder)
@@ -51,7 +53,7 @@
         host = handover.Shared(taken[0] if taken else None)
         endpoint = Endpoint(config.ops, self.answer, HOST)  # first: what can't be had must not cost a caller
         try:
-            super().__init__(config, host, module, engine=engine)
+            super().__init__(config, host, module, engine, discovery)
         except BaseException:
             endpoint.close()
             raise
--- a/passpost/trace/engine.py
+++ b/passpost/trace/engine.py
@@ -22,12 +22,13 @@
 class _Trace:
     """A request as far as it has come."""
 
-    __slots__ = ("at", "class_name", "end", "ended", "sent", "tries", "txn")
+    __slots__ = ("at", "class_name", "end", "ended", "sent", "tries", "txn", "written")
 
     def __init__(self, txn: str, class_name: str, at: float) -> None:
         self.txn, self.class_name, self.at, self.ended = txn, class_name, at, at
         self.end = End.LEFT
         self.sent: dict[int, float] = {}
+        self.written: dict[int, float] = {}
         self.tries: dict[int, Try] = {}
 
 
@@ -50,7 +51,16 @@
         """As the engine's."""
         found = _TXN.search(outgoing.head)
         txn = found[1].decode("latin-1") if found is not None else "-"
-        self._traces[self._count + 1] = _Trace(txn, class_name, self.now())
+        number = self._count + 1
+        self._traces[number] = _Trace(txn, class_name, self.now())
+        written = outgoing.written
+
+        def note() -> None:
+            if written is not None:
+                written()
+            self._note_written(number)
+
+        outgoing.written = note
         return super().arrived(class_name, tenant, remaining, outgoing, caller, free_connections)
 
     def _carry_out(self, action: face.Action) -> None:
@@ -63,6 +73,19 @@
                 trace.sent[len(self._requests[number].attempts)] = self.now()
         super()._carry_out(action)
 
+    def _send(self, action: face.Send) -> None:
+        super()._send(action)
+        self._note_written(
+            action.request
+        )  # on a connection that was there it went out before it had its place
+
+    def _note_written(self, number: int) -> None:
+        request, trace = self._requests.get(number), self._traces.get(number)
+        if request is not None and trace is not None:
+            for index, attempt in enumerate(request.attempts):
+                if attempt is not None and attempt.is_written():
+                    trace.written.setdefault(index, self.now())
+
     def _abandon(self, number: int, status: int) -> None:
         self._note_end(number, End.FAILED)
         super()._abandon(number, status)
@@ -79,7 +102,9 @@
         if trace is not None:
             now, sent = self.now(), trace.sent.get(index, trace.at)
             said = outcome.value.replace(" ", "_")
-            trace.tries[index] = Try(server, round(sent - trace.at), round(now - sent), said)
+            out = trace.written.get(index)
+            written = None if out is None else round(out - sent)
+            trace.tries[index] = Try(server, round(sent - trace.at), round(now - sent), said, written)
             if outcome is Outcome.SERVED and not request.finished:
                 trace.end, trace.ended = End.SERVED, now
         super()._ended(number, request, index, server, outcome, answer)
--- a/passpost/trace/folder.py
+++ b/passpost/trace/folder.py
@@ -5,15 +5,15 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from passpost.trace.model import read
-from passpost.trace.tables import Step
+from passpost.trace.model import read, read_call
+from passpost.trace.tables import Asked, Step
 
 
 class NoTraceError(Exception):
     """There is nothing to add up; one sentence says why."""
 
 
-def steps(folder: Path) -> Iterator[Step]:
+def steps(folder: Path) -> Iterator[Step | Asked]:
     """The entries of all files named *.log, each with its balancer's name; NoTraceError if there is none.
 
     Bytes that are no UTF-8 and lines that are cut short, as by a kill, are passed over.
@@ -28,6 +28,9 @@
                     if (entry := read(line)) is not None:
                         found = True
                         yield Step(path.stem, entry)
+                    elif (call := read_call(line)) is not None:
+                        found = True
+                        yield Asked(path.stem, call)
     except OSError as error:
         raise NoTraceError(f"{folder}: {error.strerror or error}") from None
     if not found:
--- a/tests/trace/test_trace.py
+++ b/tests/trace/test_trace.py
@@ -16,11 +16,13 @@
 from passpost import config
 from passpost.cli import command
 from passpost.engine import Engine
+from passpost.listing import parse_address
 from passpost.node import Node
+from passpost.trace.discovery import TracedDiscovery
 from passpost.trace.engine import TracedCountingEngine, TracedEngine
-from passpost.trace.model import End, Entry, Try, read, write
-from passpost.trace.tables import Step, add_up, follow
-from tests.loopback import Balancer, FakeServer, config_data, member, run, silent, until
+from passpost.trace.model import Call, End, Entry, Try, read, read_call, write, write_call
+from passpost.trace.tables import Asked, Step, add_up, around, follow
+from tests.loopback import Balancer, FakeServer, answer_json, config_data, listing, member, run, silent, until
 
 WORDS = st.text("abcXYZ019_.:-", min_size=1, max_size=12)
 TRIES = st.builds(
@@ -29,6 +31,17 @@
     st.integers(0, 10**6),
     st.integers(0, 10**6),
     st.sampled_from(["served", "turned_away", "timed_out", "error"]),
+    st.none() | st.integers(0, 10**6),
+)
+CALLS = st.builds(
+    Call,
+    WORDS,
+    st.none() | st.integers(0, 10**6),
+    st.integers(0, 60_000),
+    st.integers(0, 10**13),
+    st.integers(0, 10**6),
+    st.sampled_from(["answered", "status_503", "timed_out", "cut_off", "dropped"]),
+    st.lists(st.tuples(WORDS, st.sampled_from(["leaving", "left"])), max_size=4).map(tuple),
 )
 ENTRIES = st.builds(
     Entry,
@@ -53,6 +66,19 @@
     assert got is None or (got.txn, got.end, got.at_ms) == (entry.txn, entry.end, entry.at_ms)
 
 
+@given(CALLS, st.integers(0, 200))
+def test_a_call_is_read_as_it_was_written_and_never_as_a_request(call: Call, cut: int) -> None:
+    line = f"12.345 INFO passpost.trace.discovery: {write_call(call)}"
+    assert read_call(line + "\n") == call and read(line) is None
+    got = read_call(line[: len(line) - cut])
+    assert got is None or (got.place, got.after, got.at_ms, got.end) == (
+        call.place,
+        call.after,
+        call.at_ms,
+        call.end,
+    )
+
+
 @pytest.mark.parametrize(
     "line", ["", "trace ", "trace txn=a class=b", "trace txn=a class=b at_ms=1 took_ms=2 end=lost tries=-"]
 )
@@ -111,6 +137,70 @@
     assert capsys.readouterr().out == "no balancer has written of zz\n"
 
 
+LEAVING: list[Step | Asked] = [
+    Asked("n1", Call("d:1", 4, 10_000, 5_000, 1_000, "answered", (("s0", "leaving"),))),
+    Asked("n2", Call("d:1", 4, 10_000, 5_000, 1_500, "cut_off")),
+    Asked("n2", Call("d:2", None, 0, 7_000, 2_000, "timed_out")),
+    Step("n2", entry("a", 7_500, End.SERVED, Try("s1", 0, 9, "error", 1), Try("s0", 10, 9, "served", 2))),
+    Step("n2", entry("b", 5_100, End.FAILED, Try("s0", 0, 200, "unreached"))),
+]
+
+
+def test_a_server_that_leaves_is_followed_through_all_balancers(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    all_of_it = around(LEAVING, "s0")
+    assert [(m.at_ms, m.balancer, m.late_ms) for m in all_of_it] == [
+        (5_100, "n2", 0),
+        (6_000, "n1", 0),
+        (7_510, "n2", 1_510),
+    ]
+    assert [m.at_ms for m in around(LEAVING, "s0", "n2")] == [5_100, 6_000, 6_500, 7_510, 9_000]
+    for one in LEAVING:
+        with (tmp_path / f"{one.balancer}.log").open("a") as file:
+            file.write((write(one.entry) if isinstance(one, Step) else write_call(one.call)) + "\n")
+    assert command.run(["logs", str(tmp_path), "--server", "s0", "--balancer", "n2"]) == 0
+    out = capsys.readouterr().out.splitlines()
+    assert out[1] == "6000 ms n1: d:1 after 4, wait 10000 ms: answered after 1000 ms; s0 is leaving"
+    assert out[3].endswith(
+        "a chosen; went out after 2 ms, served after 9 ms [1510 ms after it was first heard]"
+    )
+    assert command.run(["logs", str(tmp_path), "--server", "zz"]) == 1
+    assert command.run(["logs", str(tmp_path), "--server", "s0", "--json"]) == 0
+    assert [m["late_ms"] for m in json.loads(capsys.readouterr().out.partition("\n")[2])] == [0, 0, 1_510]
+    assert command.run(["logs", str(tmp_path), "--balancer", "n2"]) == 2
+    assert command.run(["logs", str(tmp_path), "--server", "s0", "--follow", "a"]) == 2
+    assert command.run(["logs", str(tmp_path)]) == 0
+
+
+def test_calls_for_the_list_leave_a_line_each(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        place = FakeServer(answer_json(listing(7, member("s0", "127.0.0.1:1", "leaving"))))
+        await place.start()
+        discovery = TracedDiscovery(parse_address(place.host_port), None)
+        discovery.start(lambda update, addresses: None)
+        discovery.subscribe()
+
+        def calls() -> list[Call]:
+            return [c for r in caplog.records if (c := read_call(r.getMessage())) is not None]
+
+        await until(lambda: bool(calls()))
+        place.reply = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        await until(lambda: calls()[-1].end == "status_503")
+        assert (calls()[0].after, calls()[0].end, calls()[0].away) == (None, "answered", (("s0", "leaving"),))
+        assert calls()[-1].after == 7 and calls()[0].place == place.host_port
+        place.reply = silent
+        discovery.subscribe()
+        asked = len(place.got)
+        await until(lambda: len(place.got) > asked)
+        discovery.stop()
+        await until(lambda: calls()[-1].end == "dropped")
+        place.stop()
+
+    with caplog.at_level(logging.INFO, "passpost.trace.discovery"):
+        run(test())
+
+
 def test_nothing_to_add_up_is_told_in_one_sentence(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
