Tests: through any chain of starts, answers, failures and moves the next call comes in time

Need: the bound on calls for the list holds through any chain, not only for one failure.

Change: a property test with a judge beside the module: answers, empty ones, 503, resets, silence, one move and two, askWithin from 3 to 20 s, 1 to 1,024 balancers.

--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -16,10 +16,21 @@
 from passpost.rehearsal.loop import SimLoop
 from passpost.rehearsal.network import Network, SimHost, SimTransport
 from passpost.rehearsal.stage import listen
-from tests.helpers import settings
+from tests.helpers import Desk, settings
 from tests.loopback import listing, member
 from umberworks.asking import Asking
-from umberworks.interface import ListKind, ListUpdate, Readiness
+from umberworks.interface import (
+    Action,
+    Event,
+    ListKind,
+    ListMoved,
+    ListUpdate,
+    Member,
+    Readiness,
+    SetTimer,
+    Subscribe,
+    TimerDue,
+)
 
 PLACE = ("10.0.0.1", 8500)
 
@@ -106,6 +117,87 @@
         assert share * within + asking.again(share * within) <= within or share >= 0.95
 
 
+class Judge:
+    """The rule from outside: how long ago a balancer last watched or asked, and what may be by then."""
+
+    def __init__(self, within: float, balancers: int, seed: int) -> None:
+        self.within, self.now = within, 1_000.0
+        self.desk = Desk(2, seed, balancers=balancers, list_is_asked=True, ask_within_ms=within)
+        self.counted, self.times = self.now, 1
+        self.due: list[float] = []
+        self.asked = False  # a call is out
+        self.hear(self.desk.log)
+
+    def hear(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SetTimer) and action.token == "list":
+                self.due.append(action.at_ms)
+            elif isinstance(action, Subscribe):
+                self.asked, self.counted, self.times = True, self.now, 1
+
+    def tell(self, event: Event) -> None:
+        self.desk.now = self.now
+        self.hear(self.desk.tell(event))
+
+    def wait_for_the_call(self) -> None:
+        while not self.asked:
+            assert self.due, "nothing is planned: the list is never asked for again"
+            self.now = max(min(self.due), self.now)
+            self.due.remove(min(self.due))
+            last, times = self.counted, self.times
+            self.tell(TimerDue("list"))
+            assert self.now <= last + times * self.within, "counts as told, and has not asked"
+
+    def fail(self, after: float, unheard: float, times: int) -> None:
+        self.now += after
+        self.asked, self.counted, self.times = False, self.now - unheard, times
+        self.tell(ListUpdate(ListKind.FAILED, unheard_ms=unheard))
+
+
+@given(
+    within=st.floats(3_000, 20_000),
+    balancers=st.integers(1, 1_024),
+    seed=st.integers(0, 1_000),
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["answer", "empty", "503", "reset", "silence", "move", "two moves"]),
+            st.floats(0, 1),
+        ),
+        max_size=15,
+    ),
+)
+def test_through_any_chain_the_next_call_is_made_before_the_balancer_counts_as_told(
+    within: float, balancers: int, seed: int, steps: list[tuple[str, float]]
+) -> None:
+    judge = Judge(within, balancers, seed)
+    patience = min(6_000.0, 0.6 * within)  # as passpost/discovery.py has it
+    for step, share in steps:
+        match step:
+            case "move" | "two moves":
+                # Until the new place is asked the old one is watched: what ends at the worst ends at once.
+                judge.asked, judge.counted, judge.times = False, judge.now, 1
+                judge.tell(ListMoved())
+                if step == "two moves":
+                    judge.now += share * min([d - judge.now for d in judge.due] or [0.0])
+                    judge.tell(ListMoved())
+                judge.wait_for_the_call()
+                continue
+        judge.wait_for_the_call()
+        match step:
+            case "answer" | "empty":
+                members = (Member("s0"),) if step == "answer" else ()
+                judge.now += share * 2_000
+                judge.tell(ListUpdate(ListKind.CHANGES, members))
+                judge.fail(share * 9_000, 0.0, 1)  # the watch goes on for a while, and ends
+            case "503":
+                judge.fail(share * 2_000, 0.0, 4)
+            case "reset":
+                judge.fail(share * 2_000, 0.0, 1)
+            case "silence":
+                judge.fail(patience, patience, 1)
+    judge.wait_for_the_call()
+
+
 def test_after_too_long_a_silence_the_call_is_made_soon_but_not_at_one_moment() -> None:
     asking = [Asking(settings(balancers=200), random.Random(seed)) for seed in range(200)]
     pauses = [a.again(12_000.0) for a in asking]
