--- a/tests/ops/test_size.py
+++ b/tests/ops/test_size.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import socket
+from pathlib import Path
 
 import pytest
 
 from passpost.ops import heritage
 from passpost.ops.handover import Link
+from passpost.ops.model import Bans
+from passpost.ops.rules import difference
+from passpost.ops.store import Store
 from tests.helpers import READ, settings
 from tests.loopback import run, until
 from umberworks.interface import Inherited, Known, ListKind, ListUpdate, Member, RequestArrived, Send
@@ -73,3 +77,13 @@
     assert len(new.learned(1_002.0).servers) == count
     actions = new.handle(RequestArrived(1, READ.name, 3_000.0), 1_003.0)
     assert any(isinstance(a, Send) for a in actions)
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_so_many_bans_are_kept_and_seen_by_the_other_version(count: int, tmp_path: Path) -> None:
+    path, names = tmp_path / "x.bans", {f"s-{i:08x}" for i in range(count)}
+    first, second = Store(path), Store(path)
+    first.change(lambda bans: Bans(frozenset(names), {f"b{i}": float(i) for i in range(count)}))
+    assert second.look() and second.bans == first.bans
+    out, back = difference(Bans(), second.bans)
+    assert len(out) == len(back) == count
