--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -17,8 +17,8 @@
 POLL_S = 0.05  # a pushed list is looked at this often: its agent is on this machine and answers at no cost
 WATCH_MS = 10_000  # how long a watch may wait: a silent discovery is noticed this late, plus the time-out
 # Until when an answer is worth waiting for. What it brings counts as told 6 s after the call at the latest, and where
-# the call may wait 2 s after that wait (PROTOCOL, "Figures"). To give up sooner is to be told unheard: of many that ask
-# at once discovery answers the last just before it would turn them away, and works off calls whose callers have gone.
+# the call may wait 2 s after that wait (PROTOCOL, "Figures"). To give up sooner may be to be told unheard: of many that
+# ask at once discovery answers the last just as its own patience ends, and an answer that is on its way counts as told.
 ANSWER_S, AFTER_WAIT_S = 6.0, 2.0
 SPARE_S = 0.5  # more than discovery's own bound on a call that waits its turn, if `ask_within` leaves little
 CONNECT_S = 2.0  # for the connection, and for an agent on this machine
@@ -72,9 +72,8 @@
 
     def __init__(self, address: Address, revision: int | None) -> None:
         self.address, self.revision = address, revision
-        self.retired = (
-            False  # another place has answered since; what its last call brings is heard all the same
-        )
+        # Another place has answered since: it is asked no more, and what its last call brings is heard all the same.
+        self.retired = False
         self.task: asyncio.Task[None] | None = None
 
     def is_followed(self) -> bool:
@@ -195,9 +194,8 @@
                 if self._pushed:
                     await asyncio.sleep(POLL_S)
         except (OSError, TimeoutError, EOFError, BadAnswerError) as error:
-            if not (
-                self._silent or place.retired
-            ):  # an agent is asked many times a second: one line until it is back
+            # An agent is asked many times a second: one line until it is back.
+            if not (self._silent or place.retired):
                 log.warning("discovery: %s: %s", type(error).__name__, error)
             self._silent = self._pushed
         except Exception as error:
--- a/passpost/trace/engine.py
+++ b/passpost/trace/engine.py
@@ -75,9 +75,8 @@
 
     def _send(self, action: face.Send) -> None:
         super()._send(action)
-        self._note_written(
-            action.request
-        )  # on a connection that was there it went out before it had its place
+        # On a connection that was there it went out before it had its place.
+        self._note_written(action.request)
 
     def _note_written(self, number: int) -> None:
         request, trace = self._requests.get(number), self._traces.get(number)
