A discovery that stays out of reach is asked ever less, also past the bound

Need, seen in reading the change once more: once nothing that counts has been asked for askWithin, each pause was 0 to 0.5 s.

Change (umberworks/asking.py): past the bound the pause is drawn up to the doubled one, 0.5 s at the first failure and a third of askWithin at the most.

--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -202,3 +202,11 @@
     asking = [Asking(settings(balancers=200), random.Random(seed)) for seed in range(200)]
     pauses = [a.again(12_000.0) for a in asking]
     assert max(pauses) <= 500 and max(pauses) - min(pauses) > 400
+
+
+def test_a_place_that_stays_out_of_reach_is_asked_ever_less() -> None:
+    # Refused connections come back at once: a short pause each time would fill the log for as long as that lasts.
+    asking, now = Asking(settings(balancers=200), random.Random(1)), 12_000.0
+    for _ in range(200):
+        now += asking.again(now)
+    assert now > 200_000
--- a/umberworks/asking.py
+++ b/umberworks/asking.py
@@ -33,8 +33,8 @@
 
     def again(self, unheard_ms: float) -> float:
         """The pause after a call that failed; a short one where none that counts was made for long."""
-        pause = min(RETRY_MS * float(2 ** min(self.failures, 9)), self._within / 3)
-        pause = max(pause, self._span) * (0.5 + self._chance.random())
+        least = min(RETRY_MS * float(2 ** min(self.failures, 9)), self._within / 3)
+        pause = max(least, self._span) * (0.5 + self._chance.random())
         self.failures += 1
         left = self._within * (1 - SPARE) - unheard_ms
-        return min(pause, left if left > 0 else RETRY_MS * self._chance.random())
+        return min(pause, left if left > 0 else least * self._chance.random())
