build compiles the program, so that a start does not, and two faults at a start explained

A failed start fails the fleet.

Change: where run can't write, each process compiled the whole program for itself; build does it now.

Test: tests/test_deploy.py, the build compiles each time.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,6 +11,7 @@
 PYTHON = """#!/bin/sh
 test "$*" = "-m venv --clear .venv" || exit 1
 rm -rf .venv && mkdir -p .venv/bin && printf '#!/bin/sh\\n' > .venv/bin/pip && chmod +x .venv/bin/pip
+printf '#!/bin/sh\\necho "$*" >> compiled\\n' > .venv/bin/python && chmod +x .venv/bin/python
 """
 DEPLOY = Path(__file__).parent.parent / "deploy" / "balancer.toml"
 
@@ -35,3 +36,5 @@
     requirements.write_text("# nothing still, in other words\n")
     run_build()
     assert not leftover.exists()
+    # `run` may not be able to write, and would compile the program at each start of each process.
+    assert (tmp_path / "compiled").read_text() == 3 * "-m compileall -q passpost umberworks\n"
