One stage for the tests of a move; the rehearsal's list looks once whether a node leaves

Need: read once more as a whole, two tests of a move set up and took down the same two places line by line, and Registry._noticed asked for each balancer whether the one entry is active and looked up again what it was walking over.

Change: tests/test_discovery.py has the stage once (moved), the assertions are as they were; the condition stands outside the loop, over the balancers and their lives.

--- a/passpost/rehearsal/registry.py
+++ b/passpost/rehearsal/registry.py
@@ -114,11 +114,10 @@
         entry.revision = self.revision
         self.entries[entry.node] = entry
         loop = asyncio.get_running_loop()
-        for balancer in self._running:
-            if entry.phase != "active" and self._tier_of(balancer) == entry.tier:
-                loop.call_later(
-                    self._ask_within, self._counts_as_told, entry, balancer, self._running[balancer]
-                )
+        if entry.phase != "active":
+            for balancer, life in self._running.items():
+                if self._tier_of(balancer) == entry.tier:
+                    loop.call_later(self._ask_within, self._counts_as_told, entry, balancer, life)
         for connection in self.connections:
             if connection.watched_at >= self.stage.now() - GOES_ON_S and connection not in self.watchers:
                 self._tell(connection.balancer, entry)  # what changes between two calls of a watch
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -58,6 +58,26 @@
         server.stop()
 
 
+@asynccontextmanager
+async def moved(old: FakeServer, new: FakeServer) -> AsyncIterator[Heard]:
+    """A discovery whose first call at the old place is out, and which now follows the new one."""
+    await new.start()
+    await old.start()
+    heard = Heard()
+    discovery = Discovery(parse_address(old.host_port), parse_listing(SAVED))
+    discovery.start(heard)
+    discovery.subscribe()
+    await until(lambda: len(old.got) == 1)
+    assert discovery.move(parse_address(new.host_port))
+    discovery.subscribe()
+    try:
+        yield heard
+    finally:
+        discovery.stop()
+        new.stop()
+        old.stop()
+
+
 def test_changes_whole_lists_and_what_has_left() -> None:
     async def test() -> None:
         replies = (
@@ -179,22 +199,11 @@
             told.clear()
 
         busy, old = FakeServer(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), FakeServer(tell_late)
-        await busy.start()
-        await old.start()
-        heard = Heard()
-        discovery = Discovery(parse_address(old.host_port), parse_listing(SAVED))
-        discovery.start(heard)
-        discovery.subscribe()
-        await until(lambda: len(old.got) == 1)
-        assert discovery.move(parse_address(busy.host_port))
-        discovery.subscribe()
-        await until(lambda: heard.kinds == [ListKind.SAVED, ListKind.FAILED])
-        told.set()
-        await until(lambda: heard.kinds[2:] == [ListKind.CHANGES])
-        assert [m.readiness for m in heard.updates[2].members] == [Readiness.DRAINING]
-        discovery.stop()
-        busy.stop()
-        old.stop()
+        async with moved(old, busy) as heard:
+            await until(lambda: heard.kinds == [ListKind.SAVED, ListKind.FAILED])
+            told.set()
+            await until(lambda: heard.kinds[2:] == [ListKind.CHANGES])
+            assert [m.readiness for m in heard.updates[2].members] == [Readiness.DRAINING]
 
     run(test())
 
@@ -218,25 +227,14 @@
             7, member("a", "127.0.0.1:1001", up_since_ms=5), member("b", "127.0.0.1:1002", up_since_ms=6)
         )
         new, old = FakeServer(Script(answer_json(fresh))), FakeServer(tell_late)
-        await new.start()
-        await old.start()
-        heard = Heard()
-        discovery = Discovery(parse_address(old.host_port), parse_listing(SAVED))
-        discovery.start(heard)
-        discovery.subscribe()
-        await until(lambda: len(old.got) == 1)
-        assert discovery.move(parse_address(new.host_port))
-        discovery.subscribe()
-        await until(lambda: heard.kinds == [ListKind.SAVED, ListKind.WHOLE])
-        told.set()
-        await until(lambda: len(heard.kinds) == 3)
-        assert [(m.server, m.readiness) for m in heard.updates[2].members] == [("a", Readiness.DRAINING)]
-        assert set(heard.addresses) == {"a", "b"}
-        await until(lambda: old.closed == 1)
-        assert len(old.got) == 1  # it is asked no more
-        discovery.stop()
-        new.stop()
-        old.stop()
+        async with moved(old, new) as heard:
+            await until(lambda: heard.kinds == [ListKind.SAVED, ListKind.WHOLE])
+            told.set()
+            await until(lambda: len(heard.kinds) == 3)
+            assert [(m.server, m.readiness) for m in heard.updates[2].members] == [("a", Readiness.DRAINING)]
+            assert set(heard.addresses) == {"a", "b"}
+            await until(lambda: old.closed == 1)
+            assert len(old.got) == 1  # it is asked no more
 
     run(test())
 
