A close-delimited answer is whole by its connection's close, and broken by a reset

Of twelve long answers the three that ended by eof_received are the three that were lost.

At fault: Connection.eof_received in passpost/upstream.py asked AnswerReader.ended for sidecars only (to_the_end).

A mend that trusts eof_received was ruled out too: with uvloop a reset that comes while reading is paused is told as an end (probe on loopback: SO_ERROR 104), so the socket is asked.

--- a/passpost/host.py
+++ b/passpost/host.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 import socket
 import time
@@ -58,6 +59,14 @@
         """Called with 0 it says at once whether the other side has ended its sending, also behind bytes unread."""
         return _look(transport, select.POLLRDHUP)
 
+    def was_reset(self, transport: asyncio.BaseTransport) -> bool:
+        """Whether a connection that has ended was reset, and not closed.
+
+        EPIPE is the kernel's word for a reset that came behind the other side's close.
+        """
+        error = transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return error not in (0, errno.EPIPE)
+
 
 def _look(transport: asyncio.BaseTransport, events: int) -> Callable[[int], object]:
     poll = select.poll()
--- a/passpost/http1.py
+++ b/passpost/http1.py
@@ -66,8 +66,8 @@
 class AnswerReader:
     """Reads the one answer that is due on a connection.
 
-    An answer that ends only with its connection is whole where `ended` is asked (RFC 9112, 6.3, rule 8), and so
-    only where upstreams are ordinary servers: nothing tells it from one cut short.
+    A close-delimited answer ends with its connection (RFC 9112, 6.3, rule 8): then `ended` is asked, and only if that
+    was a close, as a reset ends nothing.
     """
 
     def __init__(
@@ -126,7 +126,7 @@
         return self._whole
 
     def ended(self) -> Answer | None:
-        """The answer that the end of its connection makes whole; None if it is cut short by it."""
+        """The answer that the close of its connection makes whole; None if it is cut short by it."""
         if self._whole is not None or not self._head_done or self.length is not None or self._is_chunked():
             return None
         return Answer(
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -99,7 +99,6 @@
             longest,
             kept,
             TOO_LONG,
-            to_the_end=True,
         )
         self.source = sources.make(application.upstreams, host)
         self.engine = self._engine(application)
--- a/passpost/rehearsal/network.py
+++ b/passpost/rehearsal/network.py
@@ -576,3 +576,7 @@
         """Whether the other side has ended, whatever lies there before that."""
         assert isinstance(transport, SimTransport)
         return lambda timeout: transport.has_ended()
+
+    def was_reset(self, transport: asyncio.BaseTransport) -> bool:
+        """Never: here a reset is told as one, also where reading was paused."""
+        return False
--- a/passpost/upstream.py
+++ b/passpost/upstream.py
@@ -326,13 +326,14 @@
             self._settle = None
 
     def eof_received(self) -> None:
-        """The upstream has closed: an idle connection must not be used again, an answer is cut short.
+        """The upstream has closed: an idle connection must not be used again, and an answer is over.
 
-        Where upstreams are ordinary servers it may also be whole by that (RFC 9112, 6.3, rule 8).
+        A close-delimited one is whole by that (RFC 9112, 6.3, rule 8), any other is cut short. A reset is no end: where
+        reading was paused libuv tells of it as of a close, so that the socket is asked.
         """
         attempt, reader = self._attempt, self._reader
         answer = None
-        if reader is not None and self._pool.to_the_end and not self.unwritten:
+        if reader is not None and not self.unwritten and not self._was_reset():
             answer = reader.ended()
         if attempt is not None and answer is not None:
             self._unsettle()
@@ -344,6 +345,9 @@
         """As eof_received."""
         self._ended()
 
+    def _was_reset(self) -> bool:
+        return self._transport is not None and self._pool.host.was_reset(self._transport)
+
     def _ended(self) -> None:
         if self._attempt is not None:
             self._attempt.end(Outcome.UNREACHED if self.unwritten else Outcome.BROKEN)
@@ -383,15 +387,12 @@
         max_body: int = MAX_LONG,
         kept: int = LONG,
         too_long: Answer | None = None,
-        to_the_end: bool = False,
     ) -> None:
         """Answers of up to `kept` bytes are passed on whole, those beyond as they come, up to `max_body`.
 
-        `too_long`: what callers get for one beyond that; without it the attempt is broken, and another may be made.
-        `to_the_end`: an answer may be told whole by the end of its connection.
-        """
+        `too_long`: what callers get for one beyond that; without it the attempt is broken, and another may be made."""
         self.host, self.outcome, self.max_body, self.kept = host, outcome, max_body, kept
-        self.too_long, self.to_the_end = too_long, to_the_end
+        self.too_long = too_long
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_timeout * IDLE_SHARE
         self._max_open = max_open
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -88,7 +88,17 @@
     run(test())
 
 
-@pytest.mark.parametrize("raw", [b"", OK[:-1], b"HTTP/1.1 200 OK\r\n\r\nto the end", OK[:20]])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        OK[:-1],
+        OK[:20],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nto the end",
+        b"HTTP/1.1 103 Early\r\n\r\n",
+    ],
+)
 def test_an_answer_cut_short_is_a_reset(raw: bytes) -> None:
     async def cut(request: Got, writer: Writer) -> None:
         writer.write(raw)
