--- a/passpost/callers/connection.py
+++ b/passpost/callers/connection.py
@@ -17,7 +17,7 @@
 from passpost.host import Host
 from passpost.http1 import MAX_HEAD, Answer, Headers, end_to_end, write_headers
 from passpost.streams import Sink, Source, Upload
-from passpost.upstream import Outgoing
+from passpost.upstreams.attempt import Outgoing
 from passpost.validation import BadRequestError, Call, Check
 
 log = logging.getLogger(__name__)
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -15,7 +15,8 @@
 from passpost.host import HOST, Host
 from passpost.http1 import Address, Answer
 from passpost.streams import Sink, Source
-from passpost.upstream import Attempt, Outgoing, Upstreams
+from passpost.upstreams.attempt import Attempt, Outgoing
+from passpost.upstreams.pool import Upstreams
 from umberworks import interface as face
 from umberworks.interface import Outcome
 from umberworks.rules import Balancer
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -10,7 +10,7 @@
 from passpost.discovery import Discovery
 from passpost.engine import Engine
 from passpost.host import HOST, Host
-from passpost.upstream import Upstreams
+from passpost.upstreams.pool import Upstreams
 from umberworks.interface import ListMoved
 from umberworks.rules import Balancer
 
--- a/passpost/operator/sidecar.py
+++ b/passpost/operator/sidecar.py
@@ -27,7 +27,7 @@
 from passpost.operator.probe import SERVER
 from passpost.operator.reader import Problem, UnreadableError, load
 from passpost.operator.settings import settings
-from passpost.upstream import Upstreams
+from passpost.upstreams.pool import Upstreams
 from umberworks.interface import ListKind, ListUpdate, Member, Outcome, Readiness
 from umberworks.rules import Balancer
 
--- a/passpost/ops/counting.py
+++ b/passpost/ops/counting.py
@@ -10,7 +10,7 @@
 from passpost.http1 import Answer
 from passpost.ops.tally import Counts, Tally
 from passpost.streams import Sink, Source
-from passpost.upstream import Outgoing
+from passpost.upstreams.attempt import Outgoing
 
 
 class _Counted:
--- a/passpost/trace/engine.py
+++ b/passpost/trace/engine.py
@@ -10,7 +10,7 @@
 from passpost.http1 import Answer
 from passpost.ops.counting import CountingEngine
 from passpost.trace.model import End, Entry, Try, write
-from passpost.upstream import Outgoing
+from passpost.upstreams.attempt import Outgoing
 from umberworks import interface as face
 from umberworks.interface import Outcome
 
--- a/tests/test_close_delimited.py
+++ b/tests/test_close_delimited.py
@@ -57,7 +57,7 @@
 
 def to_upstream(b: Balancer) -> asyncio.Transport:
     """The one connection that an upstream has from the balancer."""
-    (connection,) = [c for u in b.node.upstreams._upstreams.values() for c in u.open]
+    (connection,) = [c for u in b.node.upstreams._pools.values() for c in u.open]
     assert connection._transport is not None
     return connection._transport
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,13 +13,14 @@
 import pytest
 
 from passpost import config
-from passpost import upstream as upstream_module
 from passpost.host import HOST
 from passpost.listing import parse_listing
 from passpost.node import Node
 from passpost.rehearsal.loop import SimLoop
 from passpost.rehearsal.network import Network, SimHost
-from passpost.upstream import Upstreams
+from passpost.upstreams import connection as upstream_connection
+from passpost.upstreams import pool as upstream_pool
+from passpost.upstreams.pool import Upstreams
 from tests.loopback import (
     AWAY,
     ROOT,
@@ -150,7 +151,7 @@
 
 def test_nobody_gets_the_second_answer_to_the_request_before(monkeypatch: pytest.MonkeyPatch) -> None:
     # It comes some milliseconds late, when the connection may carry the next request already.
-    monkeypatch.setattr(upstream_module, "REST_S", 3_600.0)
+    monkeypatch.setattr(upstream_pool, "REST_S", 3_600.0)
     seen: list[Writer] = []
 
     async def twice(request: Got, writer: Writer) -> None:
@@ -192,7 +193,7 @@
             client = await b.connect()
             client.send(target, method="GET" if target == "/read" else "POST", X_Txn="t")
             await until(lambda: gate.waiting == 1)
-            (chosen,) = (n for n, u in b.node.upstreams._upstreams.items() if u.open)
+            (chosen,) = (n for n, u in b.node.upstreams._pools.items() if u.open)
             index = int(chosen[1:])
             tell(b, chosen, upstreams[index].host_port, phase)
             gate.open.set()
@@ -237,7 +238,7 @@
     begun: bytes, drips: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Only a stall of 10 s ended it, and with a byte now and then nothing did.
-    monkeypatch.setattr(upstream_module, "STALL_S", 3_600.0)
+    monkeypatch.setattr(upstream_connection, "STALL_S", 3_600.0)
 
     async def never_ends(request: Got, writer: Writer) -> None:
         writer.write(b"HTTP/1.1 200 OK\r\n" + begun)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -9,7 +9,7 @@
 from passpost import config
 from passpost.engine import Engine
 from passpost.host import Host
-from passpost.upstream import Upstreams
+from passpost.upstreams.pool import Upstreams
 from tests.loopback import config_data
 from umberworks.interface import Member
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -220,7 +220,7 @@
                     answer = await client.ask()
                     assert answer is not None and answer.status == 200
                 await until(lambda: len(b.node.discovery.members) == 3_001)
-            assert set(b.node.upstreams._upstreams) == set(b.node.discovery.members)
+            assert set(b.node.upstreams._pools) == set(b.node.discovery.members)
         agent.stop()
         upstream.stop()
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from passpost import upstream
 from passpost.callers import connection
 from passpost.http1 import MAX_LONG
 from passpost.streams import AHEAD, LONG, Upload
+from passpost.upstreams import connection as upstream_connection
 from tests.loopback import Client, Reader, Writer, balancer, run, until
 
 MB = 1024 * 1024
@@ -315,7 +315,7 @@
 
 @pytest.mark.parametrize("after", ["head", "answer"])
 def test_a_caller_that_goes_ends_the_attempt(monkeypatch: pytest.MonkeyPatch, after: str) -> None:
-    monkeypatch.setattr(upstream, "STALL_S", 1e9)  # nobody else ends it
+    monkeypatch.setattr(upstream_connection, "STALL_S", 1e9)  # nobody else ends it
     ended = asyncio.Event()
 
     async def script(reader: Reader, writer: Writer, head: bytes) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,10 +9,12 @@
 
 import pytest
 
-from passpost import upstream as module
 from passpost.http1 import Answer
 from passpost.listing import parse_address
-from passpost.upstream import Attempt, Outgoing, Upstreams
+from passpost.upstreams import pool as upstream_pool
+from passpost.upstreams.attempt import Attempt, Outgoing
+from passpost.upstreams.connection import Connection
+from passpost.upstreams.pool import Upstreams
 from tests.loopback import AWAY, OK, FakeServer, Got, Writer, balancer, run, silent, until
 from umberworks.interface import Outcome
 
@@ -160,7 +162,7 @@
     monkeypatch: pytest.MonkeyPatch, rested: bool
 ) -> None:
     # An upstream may close right behind its answer, or answer again: with no rest the next request would cross that.
-    monkeypatch.setattr(module, "REST_S", 0.0 if rested else 60.0)
+    monkeypatch.setattr(upstream_pool, "REST_S", 0.0 if rested else 60.0)
 
     async def test() -> None:
         order: list[Writer] = []
@@ -177,7 +179,7 @@
             await until(lambda: len(order) == 2)
             release.set()
             await until(lambda: len(c.outcomes) == 2)
-            wanted = c.upstreams._upstreams["s0"].idle[-1] if rested else None
+            wanted = c.upstreams._pools["s0"].idle[-1] if rested else None
             attempt = c.send()
             assert attempt.connection is wanted
             await until(lambda: len(c.outcomes) == 3)
@@ -217,7 +219,7 @@
     after: bytes | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # The loop has no turn between the second answer's coming and the next attempt: only the kernel knows.
-    monkeypatch.setattr(module, "REST_S", 0.0)
+    monkeypatch.setattr(upstream_pool, "REST_S", 0.0)
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
@@ -243,7 +245,7 @@
 
 
 def test_connections_idle_for_long_are_closed_by_us(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(module, "SWEEP_S", 0.01)
+    monkeypatch.setattr(upstream_pool, "SWEEP_S", 0.01)
 
     async def test() -> None:
         server = FakeServer()
@@ -287,7 +289,7 @@
 
     async def test() -> None:
         async with calls(FakeServer()) as c:
-            monkeypatch.setattr(module._Connection, "carry", fail)
+            monkeypatch.setattr(Connection, "carry", fail)
             assert await c.outcome() is Outcome.BROKEN
             assert c.upstreams._open == 0
 
