A long answer is passed on while it is given; one that stands still for 2 s ends

Engine._overdue gave time by the byte (40 KB a second) with no upper bound: a server that gives more slowly was cut (a test on the virtual clock: 1.6 s past the time), one that fell silent after some MB kept its caller for 10 s.

And a list of discovery's that is close-delimited is taken as whole by the close.

--- a/passpost/discovery.py
+++ b/passpost/discovery.py
@@ -58,6 +58,9 @@
                 if not answer.reusable:
                     self.hang_up()
                 return answer
+        if (answer := parser.ended()) is not None:  # close-delimited; one that a reset cut short is no JSON
+            self.hang_up()
+            return answer
         raise EOFError("the connection ended before the answer did")
 
     def hang_up(self) -> None:
--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -75,8 +75,8 @@
     ) -> None:
         """With `keeps_failures` a request that fails gets the last error of an upstream, in its words.
 
-        With `lasting` an answer that has begun may go on for as long as it makes steps; else it has its request's time,
-        and by each byte a little more.
+        With `lasting` an answer that has begun may go on for as long as it makes steps; else only a long one may, and
+        one that may still be short has its request's time, and by each byte a little more.
         """
         self._keeps_failures, self._lasting = keeps_failures, lasting
         self._balancer = module(settings, seed)
@@ -195,9 +195,8 @@
         request = self._requests.get(number)
         if request is not None and request.started is not None:
             loop = asyncio.get_running_loop()
-            due = request.due + request.started.earned()
-            if due > loop.time():
-                request.guard = loop.call_at(due, self._overdue, number)
+            if (over := request.started.over_at(request.due)) > loop.time():
+                request.guard = loop.call_at(over, self._overdue, number)
                 return
             log.warning("request %d: its answer did not end in time", number)
             request.started.end(Outcome.BROKEN)
--- a/passpost/upstreams/attempt.py
+++ b/passpost/upstreams/attempt.py
@@ -42,8 +42,8 @@
 
     unwritten: bool  # part of the request is still with us
 
-    def earned(self) -> float:
-        """How long its answer may take beyond the request's time, in seconds."""
+    def over_at(self, due: float) -> float:
+        """Until when its answer may go on whose request's time is up at `due`."""
 
     def drop(self) -> None:
         """Close at once."""
@@ -83,9 +83,9 @@
         self.sink = self.begin(answer, length, source)
         return self.sink is not None
 
-    def earned(self) -> float:
-        """How long its answer may take beyond the request's time: by what has come, and while its reader held it."""
-        return self.connection.earned() if self.connection is not None else 0.0
+    def over_at(self, due: float) -> float:
+        """Until when its answer, which has begun, may go on whose request's time is up at `due`."""
+        return self.connection.over_at(due) if self.connection is not None else due
 
     def remaining(self) -> float:
         """How long we still wait, in seconds."""
--- a/passpost/upstreams/connection.py
+++ b/passpost/upstreams/connection.py
@@ -14,7 +14,10 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_RATE = 40_000  # bytes a second: what a long answer has to come at to go on past its request's time
+ANSWER_RATE = 40_000  # bytes a second: what an answer has to come at to go on past its request's time
+# Of an answer beyond what is kept the first bytes are timed, and it is not cut while it is still given. Whoever stands
+# still for as long as nobody may hold the rest of one back (the operators' page of daily service: 2 s) gives no more.
+PAUSE_S = 2.0
 STALL_S = 10.0  # a long body that makes no step for so long, while nobody holds it back, is given up
 SETTLE_S = 0.2  # an answer whose length is not told is passed on after this, whether or not it will be long
 
@@ -134,10 +137,17 @@
             else:
                 self._transport.resume_reading()
 
-    def earned(self) -> float:
-        """The time that a long answer has earned by coming, or has stood for its reader."""
-        held = self._owner.host.monotonic() - self._held_at if self.held else 0.0
-        return self._passed / ANSWER_RATE + self._held_for + held
+    def over_at(self, due: float) -> float:
+        """Until when an answer that has begun may go on whose request's time is up at `due`, by the monotonic clock.
+
+        A long one for as long as it comes, whatever its pace. One that may still be short has time by the byte, and for
+        as long as its reader held it.
+        """
+        now = self._owner.host.monotonic()
+        if self._passed > self._owner.kept:
+            return (now if self.held else self.moved_at) + PAUSE_S
+        held = now - self._held_at if self.held else 0.0
+        return due + self._passed / ANSWER_RATE + self._held_for + held
 
     def sweep(self, now: float) -> None:
         """Give up a long body that has made no step for too long."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -147,6 +147,27 @@
     run(test())
 
 
+@pytest.mark.parametrize("cut", [0, 10])
+def test_a_close_delimited_answer_is_whole_by_the_close(cut: int) -> None:
+    # RFC 9112, 6.3, rule 8. One that ended too early is no JSON: the list stays, and the call has failed.
+    body = answer_json(listing(2, member("c", "127.0.0.1:1003"))).partition(b"\r\n\r\n")[2]
+
+    async def to_the_end(request: Got, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body[: len(body) - cut])
+        writer.close()
+
+    async def test() -> None:
+        async with following() as (server, discovery, heard):
+            server.reply = to_the_end
+            await until(lambda: len(heard.kinds) == 2 if cut else heard.kinds[1:2] == [ListKind.WHOLE])
+            if cut:
+                assert heard.kinds[1] is ListKind.FAILED and set(discovery.members) == {"a", "b"}
+            else:
+                assert set(discovery.members) == {"c"}
+
+    run(test())
+
+
 def test_silence_ends_in_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "AFTER_WAIT_S", 0.05)
     monkeypatch.setattr(module, "WATCH_MS", 1)
