After a failed call the list is asked for again within 3.5 s, so that an answer is in time

Asking.again doubled its pause up to a third of askWithin and half as much again (5 s of 10), and 200 balancers paused for up to 7.5 s; with 2 s for the answer that is too late.

The change: the pause ends by 3.5 s (6 s less 2 s for the answer and 0.5 s to spare), drawn from a wider span so that many still spread.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -20,7 +20,7 @@
 from tests.helpers import Desk
 from tests.loopback import listing, member
 from tests.virtual import simulated
-from umberworks.interface import ListMoved, ListUpdate, Readiness, SetTimer, Subscribe, TimerDue
+from umberworks.interface import ListKind, ListMoved, ListUpdate, Readiness, SetTimer, Subscribe, TimerDue
 
 PLACES = (("10.0.0.1", 8500), ("10.0.0.2", 8500))
 GRACE_S = 1.05  # of a drain, with the protocol's slack
@@ -193,6 +193,36 @@
     assert heard is not None and heard <= told[0] + GRACE_S - (0.3 if pushed else 1.0)
 
 
+FAILS = st.sampled_from(["503", "reset", "end", "noise"])
+SAID_S, TURN_S = (
+    6.0,
+    2.0,
+)  # what is told counts so long after discovery had it; that it may take for an answer
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    fails=st.lists(FAILS, min_size=1, max_size=9),
+    balancers=st.sampled_from([1, 8, 200, 1_024]),
+    seed=st.integers(0, 10_000),
+)
+def test_a_change_after_failed_calls_is_asked_for_in_time_for_a_slow_answer(
+    fails: list[str], balancers: int, seed: int
+) -> None:
+    # Whatever else is allowed after failures: pauses grew to 5 s, and with many balancers to 7.5 s.
+    made: list[float] = []
+
+    async def script(follower: Follower, here: Agency, there: Agency) -> None:
+        while sum(u.kind is ListKind.FAILED for _, u in follower.heard) < len(fails):
+            await asyncio.sleep(0.001)
+        here.drain()  # at the worst right as the last of them has failed
+        made.append(follower.loop.time())
+
+    follower = play((fails, []), False, script, 60.0, balancers=balancers, seed=seed)
+    heard = follower.heard_of_drain()
+    assert heard is not None and heard - made[0] <= SAID_S - TURN_S
+
+
 STEPS = st.sampled_from(
     ["agreed", "silent", "half", "drips", "reset", "end", "503", "noise", "empty list", "twice"]
 )
--- a/umberworks/asking.py
+++ b/umberworks/asking.py
@@ -16,6 +16,8 @@
 RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
 TURN_MS = 50.0  # that discovery may take for a call
 SPARE = 0.05  # of the bound, as a call counts from when it has come
+# After a failed call a change counts as told 6 s after discovery had it; 2 s may be its answer's, 0.5 s are spare.
+LONGEST_MS = 3_500.0
 
 
 class Asking:
@@ -34,7 +36,8 @@
     def again(self, unheard_ms: float) -> float:
         """The pause after a call that failed; a short one where none that counts was made for long."""
         least = min(RETRY_MS * float(2 ** min(self.failures, 9)), self._within / 3)
-        pause = max(least, self._span) * (0.5 + self._chance.random())
+        most = min(1.5 * max(least, self._span), LONGEST_MS)
+        pause = self._chance.uniform(min(0.5 * least, most / 3), most)
         self.failures += 1
         left = self._within * (1 - SPARE) - unheard_ms
         return min(pause, left if left > 0 else least * self._chance.random())
