An upstream is told the caller's time while a body is still coming, not "inf"

The protocol has it tell how long the balancer will wait, which is at most what the client has from its last byte on. Ruled out for whole requests: Request.timeout is never beyond the deadline that counts from the last byte.

Measured: a test on real sockets reads the header, inf without the change.

--- a/passpost/callers/connection.py
+++ b/passpost/callers/connection.py
@@ -359,7 +359,9 @@
         passed_on = write_headers(call.passed_on)
         head = b"%b %b HTTP/1.1\r\n%b%b\r\n" % (call.method, call.target, passed_on, framing)
         is_head = call.method == b"HEAD"
-        outgoing = Outgoing(head, request.body, call.deadline_header, is_head, idle_s=call.idle_s)
+        outgoing = Outgoing(
+            head, request.body, call.deadline_header, is_head, idle_s=call.idle_s, longest=remaining
+        )
         if upload is not None:
             outgoing.upload, self._head_at = upload, now
             if not self._held and not self._waiting and self._transport is not None:
--- a/passpost/upstreams/attempt.py
+++ b/passpost/upstreams/attempt.py
@@ -31,10 +31,12 @@
     written: Callable[[], None] | None = None  # told of each attempt whose last byte has gone out
     upload: Upload | None = None  # a long body, in place of `body`
     idle_s: float = 0.0  # above 0: its answer is passed on from its head on, and may stand still for so long
+    longest: float = math.inf  # that its caller waits, in seconds from its last byte on
 
     def write(self, remaining: float) -> bytes:
-        """The bytes for the wire."""
-        return b"%b%b: %.3f\r\n\r\n%b" % (self.head, self.deadline_header, remaining, self.body)
+        """The bytes for the wire. While its body is still coming an attempt has no bound: its caller's wait is told."""
+        told = min(remaining, self.longest)
+        return b"%b%b: %.3f\r\n\r\n%b" % (self.head, self.deadline_header, told, self.body)
 
 
 class Carrier(Reader, Protocol):
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -101,6 +101,26 @@
     run(test())
 
 
+def test_an_upstream_is_told_the_callers_time_while_the_body_is_still_coming() -> None:
+    # Its attempt is unbounded until the last byte, and the header said so: "X-Remaining: inf".
+    async def script(reader: Reader, writer: Writer, head: bytes) -> None:
+        await read_body(reader, head)
+        writer.write(OK)
+
+    async def test() -> None:
+        upstream = Taker(script)
+        async with balancer(upstream) as b:
+            client = await b.connect()
+            client.writer.write(head_of(client, 3 * LONG) + bytes(2 * LONG))
+            await until(lambda: len(upstream.heads) == 1)
+            client.writer.write(bytes(LONG))
+            assert (await answer_of(client.reader))[1] == b"ok"
+            told = upstream.heads[0].partition(b"X-Remaining: ")[2].partition(b"\r\n")[0]
+            assert float(told) == 9.0
+
+    run(test())
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 def test_a_long_answer_reaches_the_caller_unchanged(chunked: bool) -> None:
     async def script(reader: Reader, writer: Writer, head: bytes) -> None:
