The last byte of a long body is not sent for a caller that has left

The bytes went on, and the request ran for nobody. Ruled out: whole requests (asked in Engine._may_go in the turn of the write), between attempts and while a connection comes up (the same).

The change: before the piece that would make a long body whole, or its last chunk, the caller's socket is asked.

Measured: a test on real sockets with the crossing forced (reading stands still until the end lies in the kernel), by length and by chunks; both fail without the change.

--- a/passpost/callers/connection.py
+++ b/passpost/callers/connection.py
@@ -364,6 +364,7 @@
         )
         if upload is not None:
             outgoing.upload, self._head_at = upload, now
+            outgoing.is_wanted = lambda: not self.has_left()
             if not self._held and not self._waiting and self._transport is not None:
                 self._transport.resume_reading()
         free = self._server.free_connections()
--- a/passpost/streams.py
+++ b/passpost/streams.py
@@ -74,6 +74,10 @@
         self._set_hold()
         return piece
 
+    def is_ending(self) -> bool:
+        """Whether the next piece is the last of a body whose length was told."""
+        return self.length is not None and self.seen >= self.length and len(self._pieces) == 1
+
     def is_empty(self) -> bool:
         """Whether all that has come is taken."""
         return not self._pieces
--- a/passpost/upstreams/attempt.py
+++ b/passpost/upstreams/attempt.py
@@ -32,6 +32,9 @@
     upload: Upload | None = None  # a long body, in place of `body`
     idle_s: float = 0.0  # above 0: its answer is passed on from its head on, and may stand still for so long
     longest: float = math.inf  # that its caller waits, in seconds from its last byte on
+    is_wanted: Callable[[], bool] = lambda: (
+        True
+    )  # asked before the last byte of a long body: its caller may have left
 
     def write(self, remaining: float) -> bytes:
         """The bytes for the wire. While its body is still coming an attempt has no bound: its caller's wait is told."""
--- a/passpost/upstreams/connection.py
+++ b/passpost/upstreams/connection.py
@@ -104,6 +104,8 @@
         if attempt is None or (upload := attempt.request.upload) is None or self._transport is None:
             return
         while not self._blocked and self.unwritten and not self._transport.is_closing():
+            if upload.is_ending() and not attempt.request.is_wanted():
+                return  # so that it never runs
             piece = upload.take()
             if piece is None:
                 break
@@ -113,6 +115,8 @@
             )
         if upload.whole and upload.is_empty() and self.unwritten and not self._blocked:
             if upload.length is None:
+                if not attempt.request.is_wanted():
+                    return
                 self._transport.write(b"0\r\n\r\n")
                 if self._blocked:
                     self._last = True
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -128,6 +128,49 @@
     run(test())
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+def test_of_a_long_body_whose_last_bytes_and_end_were_read_together_the_last_is_not_sent(
+    chunked: bool,
+) -> None:
+    # A process short of processor time finds both in the kernel: passed on, its request would run for nobody.
+    async def test() -> None:
+        got, gone = bytearray(), asyncio.Event()
+
+        async def take(reader: asyncio.StreamReader, writer: Writer) -> None:
+            while data := await reader.read(65536):
+                got.extend(data)
+            gone.set()
+            writer.close()
+
+        listener = await asyncio.start_server(take, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        async with balancer(
+            change=lambda d: d["known"]["members"].append(member("s0", f"{host}:{port}"))
+        ) as b:
+            size, part = 200_000, 150_000
+            framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: %d" % size
+            client = socket.create_connection(("127.0.0.1", b.node.server.port))
+            head = b"POST /order HTTP/1.1\r\nX-Txn: gone\r\nX-Remaining: 9\r\nIdempotency-Key: k\r\n"
+            client.sendall(head + framing + b"\r\n\r\n")
+            first, rest = b"a" * part, b"z" * (size - part)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(client, b"%x\r\n%b\r\n" % (part, first) if chunked else first)
+            await until(lambda: got.count(b"a") >= part)
+            reading(b, False)
+            await loop.sock_sendall(client, b"%x\r\n%b\r\n0\r\n\r\n" % (len(rest), rest) if chunked else rest)
+            client.close()
+            (caller,) = b.node.server.connections
+            await until(lambda: bool(caller._ending(0)))
+            reading(b, True)
+            await gone.wait()
+            assert not got.endswith(b"0\r\n\r\n") and (chunked or got.count(b"z") < len(rest))
+            await until(lambda: b.node.engine.is_idle() and not b.node.server.connections)
+        listener.close()
+
+    run(test())
+
+
 def test_a_caller_that_left_is_not_sent_for_again_when_its_attempt_fails() -> None:
     # It sent something behind its request, so that its end is not read; the first server turns it away.
     async def test() -> None:
