Idle callers that fill a small table of descriptors no longer stop new ones for seconds

Seen: a real process with the kernel's limit at 64 and 300 idle connections: five of five requests on new connections had no answer within 3 s; log "accept: Too many open files" twice. At rest the process holds 15 descriptors, and the shares left 6 of 64 (25 of 256).

Ruled out: a larger share for the rest at all sizes.

--- a/passpost/callers/listener.py
+++ b/passpost/callers/listener.py
@@ -89,7 +89,7 @@
     def forget(self, connection: Connection) -> None:
         """A connection is over; another may come in for it."""
         self.connections.pop(connection, None)
-        if self._socket.fileno() >= 0:
+        if self._socket.fileno() >= 0 and len(self.connections) < self._max_open:
             self._resume()
 
     def close(self) -> None:
@@ -192,7 +192,7 @@
         return self._ends - self.monotonic()
 
     def _resume(self) -> None:
-        if not self._accepting and len(self.connections) < self._max_open:
+        if not self._accepting:
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
@@ -204,7 +204,8 @@
     def _accept(self) -> bool:
         """Take what waits, and say whether that was all.
 
-        At the limit the connection that is worth least makes room; if all are busy, the queue waits.
+        At the limit the connection that is worth least makes room, one a turn, as its descriptor is free only after
+        that; if all are busy, the queue waits.
         """
         for _ in range(Host.accept_at_once if self.draining else self._at_once):
             full = len(self.connections) >= self._max_open
@@ -229,6 +230,8 @@
             task = asyncio.get_running_loop().create_task(self._adopt(client, connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+            if spare is not None:
+                return False
         return False
 
     async def _adopt(self, client: Any, connection: Connection) -> None:
@@ -251,4 +254,4 @@
         for connection in list(self.connections):
             connection.sweep(now)
         if self._socket.fileno() >= 0:
-            self._resume()
+            self._resume()  # at the limit too: since it was reached, or no descriptor was left, one may make room
--- a/passpost/node.py
+++ b/passpost/node.py
@@ -20,12 +20,22 @@
 # the loop, files, and sockets that are closed but not gone yet. Callers get more: a request that waits in
 # the listening socket's queue is taken and not seen, while an attempt without a connection ends at once.
 CALLERS_SHARE, UPSTREAMS_SHARE = 0.55, 0.35
+OWN = (
+    24  # the least of that rest: a process at rest holds 15, and two places of discovery have two calls each
+)
 
 # A planned restart kills no sooner than the longest deadline, of which LONGEST_S count at most, and so much later;
 # the spare is for ending. To plan for more than that is to be killed with callers that were never let go.
 LONGEST_S, KILL_AFTER_S, SPARE_S = 3.0, 0.7, 0.3
 
 
+def shares(sockets: int) -> tuple[int, int]:
+    """How many connections callers and upstreams may have, of so many descriptors."""
+    given = CALLERS_SHARE + UPSTREAMS_SHARE
+    free = min(sockets * given, sockets - OWN)
+    return int(free * CALLERS_SHARE / given), int(free * UPSTREAMS_SHARE / given)
+
+
 class Node:
     """The parts of one balancer, wired together and started."""
 
@@ -38,9 +48,8 @@
         discovery: type[Discovery] = Discovery,
     ) -> None:
         self._config = config
-        self.upstreams = Upstreams(
-            config.connect_timeout, config.idle_timeout, int(config.sockets * UPSTREAMS_SHARE), host
-        )
+        callers, upstreams = shares(config.sockets)
+        self.upstreams = Upstreams(config.connect_timeout, config.idle_timeout, upstreams, host)
         settings = config.settings
         self.discovery = discovery(
             config.discovery,
@@ -58,7 +67,7 @@
             host,
             module,
         )
-        self.server = Server(self.engine, config.listen, int(config.sockets * CALLERS_SHARE), host)
+        self.server = Server(self.engine, config.listen, callers, host)
         self.upstreams.start()
         self.discovery.start(self.engine.listed, self.engine.listed_part)
         self.server.start()
@@ -77,8 +86,9 @@
 
     def limit(self, share: float) -> None:
         """Hold so large a part of the descriptors at most."""
-        self.server.limit(int(self._config.sockets * CALLERS_SHARE * share))
-        self.upstreams.limit(int(self._config.sockets * UPSTREAMS_SHARE * share))
+        callers, upstreams = shares(self._config.sockets)
+        self.server.limit(int(callers * share))
+        self.upstreams.limit(int(upstreams * share))
 
     def within(self) -> float:
         """How long a planned restart leaves us after SIGTERM, in seconds."""
