A request that comes again on a new connection is no copy of one whose caller has left

A client whose connection ends under its request sends it once more, with the same id; while the end of the old connection lies unread (its reading is paused, or the loop has had no turn) the new one got 409, and its client nothing. Ruled out: answering what stands behind a true copy (whoever sends the id of another client's open request is not trusted with an answer; tried and taken back).

The change: ids in use name their connection, and that is asked whether its caller has left; then its request is over and its attempts end, before the new one is taken.

Measured: a test on real sockets with the end forced into the kernel, alone and behind a second request; both cases fail without the change.

--- a/passpost/callers/connection.py
+++ b/passpost/callers/connection.py
@@ -69,7 +69,7 @@
     kept: int  # of a body, so that it can be sent again; a longer one goes on as it comes
     says_who: Headers  # in answers on health
     closing: bool  # each answer ends its connection
-    open_ids: set[bytes]
+    open_ids: dict[bytes, Connection]  # of the requests that wait for an answer, and where they came in
 
     def forget(self, connection: Connection) -> None:
         """A connection is over."""
@@ -162,12 +162,23 @@
         self._server.forget(self)
         self._transport = None
         self._waiting.clear()
-        self._release()
         self._upload = None
+        self._leave()
+
+    def _leave(self) -> None:
+        """Nobody waits for the open request any more."""
+        self._release()
         if self._number is not None:
             number, self._number = self._number, None
             self._engine.left(number)
 
+    def lets_go(self) -> bool:
+        """Whether its caller has left, so that the open request's id may be used again."""
+        if not self.has_left():
+            return False
+        self._leave()
+        return True
+
     def pause_writing(self) -> None:
         """The caller sends but does not read: its answers must not fill our memory."""
         self._clogged, self._clogged_at = True, self._monotonic()
@@ -347,13 +358,19 @@
             self._engine.turned_back(call.class_name)
             self.fail(504)
             return
-        if call.txn in self._server.open_ids:  # an upstream would take the second for a copy of the first
-            self._current, self._bad = None, 409
+        holder = self._server.open_ids.get(call.txn)
+        if (
+            holder is not None and not holder.lets_go()
+        ):  # an upstream would take the second for a copy of the first
+            self._current, self._bad = (
+                None,
+                409,
+            )  # its sender is not trusted with an answer to what is behind, either
             self._waiting.clear()
             self._abandon_upload()
             return
         self._txn, self._useful = call.txn, True
-        self._server.open_ids.add(call.txn)
+        self._server.open_ids[call.txn] = self
         length = len(request.body) if upload is None else upload.length
         framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
         passed_on = write_headers(call.passed_on)
@@ -376,7 +393,7 @@
     def _release(self) -> None:
         """The id of the open request may be used again."""
         if self._txn is not None:
-            self._server.open_ids.discard(self._txn)
+            self._server.open_ids.pop(self._txn, None)
             self._txn = None
 
     def serve(self, answer: Answer) -> None:
--- a/passpost/callers/listener.py
+++ b/passpost/callers/listener.py
@@ -58,7 +58,7 @@
         self._ends, self._dealt_until = math.inf, math.inf
         self._max_open, self._at_once = max_open, host.accept_at_once
         self.connections: dict[Connection, None] = {}  # in order of coming: a set's would be chance
-        self.open_ids: set[bytes] = set()
+        self.open_ids: dict[bytes, Connection] = {}
         self._accepting = False
         self.listener = self._socket = host.listen(address, BACKLOG)
         self._emptier: asyncio.Task[None] | None = None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -128,6 +128,35 @@
     run(test())
 
 
+@pytest.mark.parametrize("behind", [False, True])
+def test_a_request_that_comes_again_on_a_new_connection_is_no_copy_of_one_whose_caller_left(
+    behind: bool,
+) -> None:
+    # A client whose connection ended under its request sends it once more; the end of the old one is not read yet.
+    async def test() -> None:
+        release = asyncio.Event()
+        upstream = FakeServer(held(release))
+        async with balancer(upstream) as b:
+            old = await b.connect()
+            old.writer.write(raw("/read", "again") + (raw("/read", "behind") if behind else b""))
+            await until(lambda: len(upstream.got) == 1)
+            reading(b, False)
+            (caller,) = b.node.server.connections
+            old.writer.close()
+            await until(lambda: bool(caller._ending(0)))
+            new = await b.connect()
+            new.send(X_Txn="again")
+            await until(lambda: len(upstream.got) == 2)
+            release.set()
+            answer = await new.answer()
+            assert answer is not None and answer.status == 200
+            assert txns(upstream) == ["again", "again"] and upstream.closed == 1  # the first is out no more
+            await until(b.node.engine.is_idle)
+            assert not b.node.server.open_ids
+
+    run(test())
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 def test_of_a_long_body_whose_last_bytes_and_end_were_read_together_the_last_is_not_sent(
     chunked: bool,
