--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,4 +1,4 @@
-"""What many balancers come to together, by their number: calls for the list, and one that is busier than the others.
+"""What many balancers come to together, by their number: calls for the list, calls to cold servers, and a busy one.
 
     python benchmarks/fleet.py [--json FILE]
 
@@ -11,6 +11,7 @@
 
 import argparse
 import json
+import math
 import random
 from heapq import heappop, heappush
 from itertools import count
@@ -25,6 +26,7 @@
     ListUpdate,
     Member,
     Outcome,
+    Readiness,
     Refuse,
     RequestArrived,
     RequestClass,
@@ -42,6 +44,9 @@
 CLASS = RequestClass("frame", 1_000.0, 3_000.0, Effect.REPEATABLE)
 TAKES_MS, EACH_PER_S, BUSY, SERVERS_EACH = 150.0, 40.0, 5.0, 5
 MEMBERS = tuple(Member(f"s{i}") for i in range(20))
+# Cold servers: two cores each, and of the settings what the fourth rule rests on.
+CORES, COLD_MS, COLD_FROM, FACTOR, WINDOW_MS, LOAD = 2, 15_000.0, 0.2, 3.0, 1_500.0, 0.8
+KNOWN_MS, WATCHED_MS, NEWS_MS = 8_000.0, 12_000.0, 300.0
 
 
 def balancer(size: int, seed: int, asks: bool) -> Balancer:
@@ -114,6 +119,70 @@
     }
 
 
+def cold(size: int, new: float) -> dict[str, float]:
+    """So large a part of the servers gives way to cold ones, of which all hear at one moment; one balancer is busier.
+
+    What they get together in a window against the rule's budget (N + 2 roots of N + 2), the worst server and the mean.
+    """
+    clock, chance = Clock(), random.Random(size)
+    settings = Settings(
+        (CLASS,),
+        balancers=size,
+        max_attempts=3,
+        cold_ms=COLD_MS,
+        cold_from=COLD_FROM,
+        cold_overload_factor=FACTOR,
+        cold_window_ms=WINDOW_MS,
+    )
+    fleet = [Balancer(settings, seed) for seed in range(size)]
+    begun, starts = clock.now, clock.now + KNOWN_MS
+    fresh = [f"n{i}" for i in range(round(new * len(MEMBERS)))]
+    calls: dict[str, list[float]] = {name: [] for name in fresh}
+
+    def warmth(server: str) -> float:
+        return (
+            1.0
+            if server not in calls
+            else min(COLD_FROM + (1 - COLD_FROM) * (clock.now - starts) / COLD_MS, 1.0)
+        )
+
+    def carry_out(who: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SetTimer):
+                clock.at(action.at_ms, who, TimerDue(action.token))
+            elif isinstance(action, Send):
+                if action.server in calls:
+                    calls[action.server].append(clock.now)
+                ends = clock.now + TAKES_MS * chance.expovariate(1.0) / warmth(action.server)
+                clock.at(
+                    ends, who, AttemptEnded(action.request, 0, action.server, Outcome.SERVED, answered=True)
+                )
+
+    news = [Member(name, up_since_ms=starts) for name in fresh]
+    news += [Member(m.server, readiness=Readiness.GONE) for m in MEMBERS[: len(fresh)]]
+    for who, one in enumerate(fleet):
+        carry_out(who, one.handle(ListUpdate(ListKind.WHOLE, MEMBERS), clock.now))
+        clock.at(starts + NEWS_MS, who, ListUpdate(ListKind.CHANGES, tuple(news)))
+    at, asked, weights = clock.now, 0, [BUSY] + [1.0] * (size - 1)
+    while (at := at + chance.expovariate(LOAD * len(MEMBERS) * CORES / TAKES_MS)) < starts + WATCHED_MS:
+        asked += 1
+        clock.at(
+            at, chance.choices(range(size), weights)[0], RequestArrived(asked, CLASS.name, CLASS.deadline_ms)
+        )
+    while (found := clock.next(begun + KNOWN_MS + WATCHED_MS)) is not None:
+        carry_out(found[0], fleet[found[0]].handle(found[1], clock.now))
+    shares = []
+    for times in calls.values():
+        worst = 0.0
+        for i, t in enumerate(times):
+            part = min(COLD_FROM + (1 - COLD_FROM) * (t - starts) / COLD_MS, 1.0)
+            most = FACTOR * part * CORES / TAKES_MS * WINDOW_MS
+            count = sum(t - WINDOW_MS < other for other in times[: i + 1])
+            worst = max(worst, count / (most + 2 * math.sqrt(most) + 2))
+        shares.append(worst)
+    return {f"cold_{new:.0%}_worst": max(shares), f"cold_{new:.0%}_mean": sum(shares) / len(shares)}
+
+
 def busy(size: int) -> dict[str, float]:
     """One balancer has five times the others' requests, and nothing is slow: who refuses what."""
     members = tuple(Member(f"s{i}") for i in range(SERVERS_EACH * size))
@@ -149,7 +218,10 @@
     )
     parser.add_argument("--json", type=Path, help="write the figures to this file too")
     options = parser.parse_args()
-    rows = [{"balancers": float(size)} | lists(size) | busy(size) for size in SIZES]
+    rows = [
+        {"balancers": float(size)} | lists(size) | cold(size, 0.6) | cold(size, 1.0) | busy(size)
+        for size in SIZES
+    ]
     for name in rows[0]:
         print(f"{name:24}" + "".join(f"{row[name]:10.3g}" for row in rows))
     if options.json:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -32,21 +32,21 @@
 class Fleet:
     """So many balancers, each with an even part of a thin stream of requests, one of them each `every` ms."""
 
-    def __init__(self, every: float) -> None:
+    def __init__(self, every: float, balancers: int = BALANCERS, takes: float = TAKES_MS) -> None:
         self.desks = [
             Desk(
                 SERVERS,
                 seed,
-                balancers=BALANCERS,
+                balancers=balancers,
                 calling_tier=1,
                 cold_ms=COLD_MS,
                 cold_from=COLD_FROM,
                 cold_overload_factor=FACTOR,
                 cold_window_ms=WINDOW_MS,
             )
-            for seed in range(BALANCERS)
+            for seed in range(balancers)
         ]
-        self.now, self.every, self.random = 1_000.0, every, random.Random(5)
+        self.now, self.every, self.takes, self.random = 1_000.0, every, takes, random.Random(5)
         self.since: dict[str, float] = {}
         self.calls: list[tuple[float, str]] = []
         self.due: list[tuple[float, Desk, int, str]] = []
@@ -68,7 +68,7 @@
     def take(self, desk: Desk, actions: list) -> None:  # type: ignore[type-arg]
         for send in sent(actions):
             self.calls.append((self.now, send.server))
-            ends = self.now + TAKES_MS / self.warmth(send.server)
+            ends = self.now + self.takes / self.warmth(send.server)
             self.due.append((ends, desk, send.request, send.server))
         self.refused += sum(isinstance(a, Refuse) for a in actions)
         self.timers += [(a.at_ms, desk, a.token) for a in actions if isinstance(a, SetTimer)]
@@ -110,6 +110,25 @@
             assert count <= most, f"{count} calls in a window at a server that may be sent {most:.1f}"
 
 
+@pytest.mark.parametrize(("balancers", "knows_ms"), [(30, 0.0), (200, 0.0), (200, 4_000.0)])
+def test_all_balancers_together_keep_within_a_cold_servers_budget(balancers: int, knows_ms: float) -> None:
+    # All hear of the starts at one moment. Each sends its first call at once, or where it knows no rate one a window.
+    fleet = Fleet(
+        every=4.0, balancers=balancers, takes=5 * TAKES_MS
+    )  # the budget is some 9 calls in a window at first
+    fleet.run(knows_ms)
+    fleet.replace()
+    fleet.run(6_000)
+    for server, since in fleet.since.items():
+        times = [t for t, s in fleet.calls if s == server]
+        for t in times:
+            count = sum(t - WINDOW_MS < other <= t for other in times)
+            warmth = COLD_FROM + (1 - COLD_FROM) * (t - since) / COLD_MS
+            most = FACTOR * warmth * LEAST_CORES * WINDOW_MS / fleet.takes
+            assert count <= most + 2 * most**0.5 + 2, f"{count} calls in a window, {most:.1f} are allowed"
+    assert fleet.calls, "the fleet serves on"
+
+
 def test_a_new_server_is_drawn_by_what_its_kind_has_shown() -> None:
     fast = 0
     for seed in range(6):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -206,6 +206,21 @@
     run(test())
 
 
+def test_no_socket_holds_small_writes_back() -> None:
+    # TCP_NODELAY: what the system still holds goes with a reset.
+    async def test() -> None:
+        async with balancer(FakeServer()) as b:
+            assert await (await b.connect()).ask() is not None
+            held = [c._transport for c in b.node.server.connections]
+            held += [c._transport for pool in b.node.upstreams._pools.values() for c in pool.open]
+            assert len(held) == 2
+            for transport in held:
+                assert transport is not None
+                assert transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(test())
+
+
 def test_an_id_that_is_open_is_not_sent_on_again() -> None:
     # An upstream would take the second request for a copy of the first, and drop it or run it twice.
     async def test() -> None:
