--- a/tests/test_close_delimited.py
+++ b/tests/test_close_delimited.py
@@ -63,10 +63,9 @@
 
 
 @pytest.mark.parametrize("size", [0, 10, LONG, LONG + 1, len(PATTERN)])
-@pytest.mark.parametrize(
-    "target", ["/read", "/pay"]
-)  # /pay is unsafe to repeat: a second attempt would run it twice
+@pytest.mark.parametrize("target", ["/read", "/pay"])
 def test_a_close_makes_it_whole(size: int, target: str) -> None:
+    # /pay is unsafe to repeat: a second attempt would run it twice.
     async def test() -> None:
         upstream = at_once(PATTERN[:size])
         async with balancer(upstream) as b:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
 
 import pytest
 
@@ -73,6 +74,15 @@
         self.refused += sum(isinstance(a, Refuse) for a in actions)
         self.timers += [(a.at_ms, desk, a.token) for a in actions if isinstance(a, SetTimer)]
 
+    def windows(self) -> Iterator[tuple[int, float]]:
+        """For each call to a new server: how many came in the window up to it, and how many it can be sent in one."""
+        for server, since in self.since.items():
+            times = [t for t, s in self.calls if s == server]
+            for t in times:
+                warmth = COLD_FROM + (1 - COLD_FROM) * (t - since) / COLD_MS
+                most = FACTOR * warmth * LEAST_CORES * WINDOW_MS / self.takes
+                yield sum(t - WINDOW_MS < other <= t for other in times), most
+
     def run(self, ms: float) -> None:
         end = self.now + ms
         while self.now < end:
@@ -101,13 +111,8 @@
     fleet.run(4_000)
     served, refused = fleet.served - before[0], fleet.refused - before[1]
     assert served > 0.8 * (served + refused), f"{served} served, {refused} refused: they could take far more"
-    for server, since in fleet.since.items():
-        times = [t for t, s in fleet.calls if s == server]
-        for t in times:
-            count = sum(t - WINDOW_MS < other <= t for other in times)
-            warmth = COLD_FROM + (1 - COLD_FROM) * (t - since) / COLD_MS
-            most = FACTOR * warmth * LEAST_CORES * WINDOW_MS / TAKES_MS
-            assert count <= most, f"{count} calls in a window at a server that may be sent {most:.1f}"
+    for count, most in fleet.windows():
+        assert count <= most, f"{count} calls in a window at a server that may be sent {most:.1f}"
 
 
 @pytest.mark.parametrize(("balancers", "knows_ms"), [(30, 0.0), (200, 0.0), (200, 4_000.0)])
@@ -119,13 +124,8 @@
     fleet.run(knows_ms)
     fleet.replace()
     fleet.run(6_000)
-    for server, since in fleet.since.items():
-        times = [t for t, s in fleet.calls if s == server]
-        for t in times:
-            count = sum(t - WINDOW_MS < other <= t for other in times)
-            warmth = COLD_FROM + (1 - COLD_FROM) * (t - since) / COLD_MS
-            most = FACTOR * warmth * LEAST_CORES * WINDOW_MS / fleet.takes
-            assert count <= most + 2 * most**0.5 + 2, f"{count} calls in a window, {most:.1f} are allowed"
+    for count, most in fleet.windows():
+        assert count <= most + 2 * most**0.5 + 2, f"{count} calls in a window, {most:.1f} are allowed"
     assert fleet.calls, "the fleet serves on"
 
 
