--- a/umberworks/crowd.py
+++ b/umberworks/crowd.py
@@ -11,16 +11,13 @@
 
 # A measure is the mean of so many calls over so long: of fewer, one long call would decide.
 BLOCK_CALLS, BLOCK_MS = 30, 500.0
-# That any server is taken to carry, over all balancers. Of two cores the weakest chokes from 7.7 on, in the
-# mean of some 2 s, and a server whose calls mostly wait for another tier needs nearly as many to keep its
-# cores at work. On a fleet of larger machines it costs the first seconds, until they have shown more.
-LEAST = 7.0
+LEAST = 7.0  # calls that any server is taken to carry, over all balancers
 NEAR = 0.7  # of what it may hold, from which a server shows what it carries
 GROW = 1.4  # times more is tried where it kept its speed; a machine of 32 cores is filled within some 4 s
-# Times the usual time in service. Up to the first it has kept its speed: more would reach what chokes a
-# server whose calls mostly wait for others and bend late. From the second on it holds too many; less would
-# follow chance, as the mean of 30 calls that differ as these do is off by a quarter.
-KEPT, LOST = 1.2, 2.5
+KEPT, LOST = (
+    1.2,
+    2.5,
+)  # usual times in service up to which it kept its speed, and from which it holds too many
 SHRINK = 0.8
 EASE = 1.02  # after it was choked, with each measure in which it keeps its speed
 DOWN, UP = 0.3, 0.03  # how fast the usual time follows shorter and longer ones: it stays near the short ones
--- a/umberworks/rest.py
+++ b/umberworks/rest.py
@@ -18,16 +18,11 @@
 from umberworks.crowd import GROW
 from umberworks.servers import MEMORY_MS, Server
 
-# Times its usual time in service from which a server is slow. Four calls on two cores come to 1.5 at the
-# most, a choked server that holds four to 1.7 at the least; seven come to 2 without a choke, and such a fleet
-# may lose a rest a minute. Chance is evened out by asking for a majority.
-SLOW, MOST = 1.6, 0.5
+SLOW, MOST = 1.6, 0.5  # usual times in service from which a server is slow; the share that has to be slow
 SLOW_FOR_MS = 3_500.0
 FAST = 1.3  # the others' time during a first rest, up to which nobody was choked: the cause is over
 WELL = 0.75  # of its time before the rest, up to which a group was choked
-# What it holds must end first, which takes a second when it is slow; balancers begin up to a second apart.
-# Then most need 3 s with idle cores. Longer rests cost more where nobody was choked: only what was choked
-# gets them.
+# What a server holds must end first, and balancers begin up to a second apart; then most need 3 s.
 REST_MS, GRID_MS, LONGER, LONGEST_MS = 5_000.0, 1_000.0, 1.5, 12_000.0
 LEAST_CALLS = 4.0  # in memory, to judge a server
 JUDGE_MS = 3_000.0  # after the rest; who has served too little by then tells nothing
--- a/umberworks/room.py
+++ b/umberworks/room.py
@@ -8,19 +8,11 @@
 BASE_DRIFT_MS = 100_000.0  # it rises by 1/e over this, so that a fleet that stays slower gets its room back
 RATE_MEMORY_MS = 2_000.0  # smoothing of our own served rate
 FREE_PER_SERVER = 4.0  # calls out for each ready server, over all balancers, let through in any case
-# Of a smaller room chance alone refuses much, all the more while another balancer is away and its callers
-# come here, which nobody tells us. Guards too against a lowest time in service that few calls made too low.
-# It can do harm on fleets of under 8 servers, which several balancers' least rooms crowd: so it holds only
-# while calls take about as long as at best, and is gone where they take twice that.
-LEAST_ROOM = 16.0  # calls out that a balancer then lets through, up to the room of all servers
+LEAST_ROOM = 16.0  # calls out that a balancer lets through while calls take about as long as at best
 LEAST_FULL, LEAST_NONE = 1.5, 2.0  # time in service, in lowest ones, up to which it holds in full, or at all
 LOAD_FREE, LOAD_FULL = 0.3, 0.55  # mean time in service, in aims, from which some, from which all are refused
 LOAD_OVER_SHARE = 0.2  # a tenant past its share is held back this much sooner
-# Of many balancers a few have several times the others' share of callers, and an even part of the room
-# would refuse theirs while the others' parts stand empty. So theirs is not bounded while calls take little
-# of their aims; at LOAD_FREE all have widened theirs at once, and it is too late: the fleet is overrun.
-# Few balancers are about as busy as one another, and fill a server by themselves: their bound stays.
-MANY, LOAD_CALM = 7, 0.2
+MANY, LOAD_CALM = 7, 0.2  # past so many balancers, none is bounded up to so long a time in service
 LEAST_ADMITTED = 0.05  # the share let in all the same, to notice that the crowd has gone
 LOAD_PRIOR = 2.0  # calls' worth of belief that all is well, so that a few slow calls do not refuse others
 
