--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -81,6 +81,8 @@
 
 
 def test_servers_that_all_balancers_put_back_by_hand_at_one_moment_are_not_pushed_over() -> None:
+    # Operators put two servers back on each balancer, and both start cold. Each balancer sent both a call in each
+    # window, whatever the budget of all: 18 calls in the first window, where 17.4 are allowed with 60 balancers.
     fleet = Fleet(every=4.0, balancers=60, takes=LONG_CALL_MS)
     fleet.run(4_000)
     names = [f"s{i}" for i in range(SERVERS)]
