--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -407,16 +407,15 @@
         return pick.of(few or self._look(count, test, request))
 
     def _put_back(self, now: float) -> Server | None:
-        """A server that was put back by hand and has served nothing since: it is sent a call a window at the most.
+        """A server that was put back by hand and has served nothing since: it gets a call a window at most.
 
         A cold one wins no comparison while others are idle, and nobody would learn that it is well again.
         """
         self._back = [s for s in self._back if s.heard <= s.back_at and s.member.server not in self._detached]
         window = self._settings.cold_window_ms
         due = (s for s in self._back if s.fit and now - s.last_sent >= window)
-        return next(
-            (s for s in due if self._cold.has_room(s, now)), None
-        )  # many balancers may be told at once
+        # Many balancers may be told at one moment: the budget of all holds here too.
+        return next((s for s in due if self._cold.has_room(s, now)), None)
 
     def _look(self, count: int, test: Callable[[Server], bool] | None, request: Request) -> list[Server]:
         """The first ready servers that pass a test, of so many that a walk over them is short."""
