A server stops once: a second stop waits for the drain that has begun

The program on sockets stops once, as its handlers set an event.

Cause: Server.drain and hand_over counted their time from each call, so that the second one kept callers past the kill, which counts from the first SIGTERM. Mend: both run once, and who asks again waits.

--- a/passpost/callers/listener.py
+++ b/passpost/callers/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from collections.abc import Coroutine
 from functools import partial
 from typing import Any
 
@@ -62,6 +63,7 @@
         self._accepting = False
         self.listener = self._socket = host.listen(address, BACKLOG)
         self._emptier: asyncio.Task[None] | None = None
+        self._stopping: asyncio.Task[None] | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[object]] = set()
 
@@ -102,6 +104,25 @@
         At first only readiness ends: a caller keeps its connection until the last call, and then each answer
         closes one. What lies in the listening socket's queue counts as taken, so it is emptied up to the end.
         """
+        await self._stop_once(self._drain(within, last_call))
+
+    async def hand_over(self, within: float, last_call: float = LAST_CALL_S) -> None:
+        """Stop as `drain`, with another process that accepts from the same listening socket.
+
+        New connections are its own from now on, so that this one's may end with their next answer. Those that
+        lie idle stay until the last call: their callers are about to drop them, and a close could cross a request.
+        """
+        await self._stop_once(self._hand_over(within, last_call))
+
+    async def _stop_once(self, stop: Coroutine[Any, Any, None]) -> None:
+        """Stop this way, or wait for the stop that has begun: the kill counts from the first SIGTERM."""
+        if self._stopping is None:
+            self._stopping = asyncio.get_running_loop().create_task(stop)
+        else:
+            stop.close()
+        await asyncio.shield(self._stopping)
+
+    async def _drain(self, within: float, last_call: float) -> None:
         self.refill()
         self.draining, self._ends = True, self.monotonic() + within
         self._dealt_until = self.monotonic() + DEALT_AFTER_STOP_S
@@ -117,12 +138,7 @@
         await asyncio.sleep(LAST_LOOK_S)
         await self._finish()
 
-    async def hand_over(self, within: float, last_call: float = LAST_CALL_S) -> None:
-        """Stop as `drain`, with another process that accepts from the same listening socket.
-
-        New connections are its own from now on, so that this one's may end with their next answer. Those that
-        lie idle stay until the last call: their callers are about to drop them, and a close could cross a request.
-        """
+    async def _hand_over(self, within: float, last_call: float) -> None:
         self.refill()
         self._ends, self.closing = self.monotonic() + within, True
         self._pause()
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -5,6 +5,9 @@
 --faults 6`, seed 5024: b1 gets SIGTERM at 0.81 s and at 3.0 s, "b1 did not end in time: killed", and a request
 is "closed with no whole answer". An operator's call to empty the balancer moves the end of a drain in the same way, and
 the call back to work takes it away: the process then serves until it is killed.
+
+Why. `Server.drain` took each call for a first one and counted its time anew. The program's own handlers set an event
+and stop once, so that only the simulator reached the second stop; a stop that has begun is now waited for.
 """
 
 from __future__ import annotations
