An operator's order to empty or to work no longer moves the end of a drain

What callers saw: after PUT /_lameduck/on on a balancer that had had SIGTERM, requests were kept open past the kill and lost; after on and off the drain had no end. Cause: Server.empty and refill set the drain's moment without asking whether one had begun, and the operators' endpoint answers until the end. Ruled out: off by itself, and an emptying that SIGTERM ends.

Mend: empty does nothing once the process is stopping (the order is answered with yes), and off is answered with 409. It holds as the moment is set by the stop alone from then on.

--- a/passpost/callers/listener.py
+++ b/passpost/callers/listener.py
@@ -76,6 +76,10 @@
         """Whether clients should come here."""
         return self.engine.has_upstreams and not self.draining
 
+    def is_stopping(self) -> bool:
+        """Whether the process is about to end."""
+        return self._stopping is not None
+
     def is_crowded(self) -> bool:
         """Whether connections run short: kept ones must not keep callers with a request from coming in.
 
@@ -168,8 +172,11 @@
         return any(c.is_owed() or (looks and c.has_unread()) for c in self.connections)
 
     def empty(self) -> None:
-        """Let callers go elsewhere, and go on running: not ready at once, and soon no connection is kept."""
-        if self._emptier is None:
+        """Let callers go elsewhere, and go on running: not ready at once, and soon no connection is kept.
+
+        A drain does that already, and its end must not move.
+        """
+        if self._emptier is None and not self.is_stopping():
             now = self.monotonic()
             self.draining, self._dealt_until = True, now + DEALT_AFTER_STOP_S
             self._ends = now + EMPTY_BY_S
--- a/passpost/ops/node.py
+++ b/passpost/ops/node.py
@@ -153,6 +153,8 @@
                 return Reply(200, self.engine.tally.write(len(self.discovery.members), self._excluded()))
             case SetBan() as change:
                 return self._ban(change)
+            case SetDrain(on=False) if self.server.is_stopping():
+                return Reply(409, "about to end: this process does not go back to work")
             case SetDrain(on):
                 log.info("called to %s", "empty" if on else "go back to work")
                 if on:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -7,7 +7,8 @@
 the call back to work takes it away: the process then serves until it is killed.
 
 Why. `Server.drain` took each call for a first one and counted its time anew. The program's own handlers set an event
-and stop once, so that only the simulator reached the second stop; a stop that has begun is now waited for.
+and stop once, so that only the simulator reached the second stop; a stop that has begun is now waited for. An order to
+empty set the end of the drain without asking whether one had begun; it is now one that is carried out already.
 """
 
 from __future__ import annotations
