A worker that its parent ends in its start is no failure of the parent

Cause: a worker with no handler yet is ended by the parent's SIGTERM (log: worker 1 ended with status -15), and the plan took each status but 0 for a failure.

--- a/passpost/workers/plan.py
+++ b/passpost/workers/plan.py
@@ -61,6 +61,7 @@
     def __init__(self) -> None:
         self.state, self.since = State.OFF, 0.0
         self.failures, self.start_at = 0, 0.0  # start_at: 0 while none is due
+        self.has_served = False
 
 
 class Plan:
@@ -99,6 +100,7 @@
         worker = self._slots[slot]
         if worker.state is State.STARTING:
             worker.state, worker.since, self._was_up = State.READY, now, True
+            worker.has_served = True
             if self._renewals and self._renewals[0] == slot:
                 self._renewals.popleft()
         return self.due(now)
@@ -110,7 +112,9 @@
         lived = now - worker.since if worker.state is State.READY else 0.0
         worker.state = State.OFF
         if self._stop_at is not None:
-            if status and not self._status:
+            # In its start it has no handler yet: our own signal ends it, and it has taken nothing.
+            ended_in_start = status == -signal.SIGTERM and not worker.has_served
+            if status and not ended_in_start and not self._status:
                 self._status = 1
         elif asked:
             worker.start_at = now
@@ -181,7 +185,7 @@
 
     def _start(self, slot: int, now: float) -> Action:
         worker = self._slots[slot]
-        worker.state, worker.since = State.STARTING, now
+        worker.state, worker.since, worker.has_served = State.STARTING, now, False
         return Start(slot)
 
     def _drain_one(self, slot: int, now: float) -> Action:
