--- a/passpost/rehearsal/clients.py
+++ b/passpost/rehearsal/clients.py
@@ -111,7 +111,8 @@
         self._stage, self._watch, self._script, self._excuse = stage, watch, script, excuse
         self._speech = speech
         self.front = Front(stage, script.clients.notice_s, speech.ready)
-        self._pools = [Pool(stage) for _ in range(script.clients.processes)]
+        pieces = script.clients.pieces
+        self._pools = [Pool(stage, pieces, f"{seed} {i}") for i in range(script.clients.processes)]
         self._random = random.Random(f"clients {seed}")
         # Arrivals are drawn apart from all else: what goes wrong must not change what is asked.
         self._arrivals = [random.Random(f"arrivals {seed} {i}") for i in range(len(self._pools))]
--- a/passpost/rehearsal/http.py
+++ b/passpost/rehearsal/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -12,8 +13,9 @@
 
 from passpost.host import Address
 from passpost.http1 import Answer, AnswerReader, BadAnswerError
-from passpost.rehearsal.stage import Stage
+from passpost.rehearsal.stage import Ending, Stage
 
+MOST_PAUSE_S = 0.05  # between the pieces of a request
 GRACE_S = 0.15  # a client that has given up still listens for so long, for the rule on answers
 
 
@@ -47,11 +49,15 @@
     def gone(self) -> None:
         """The connection is over."""
 
-    def reply(self, status: int, body: bytes = b"", more: str = "", close: bool = False) -> None:
-        """Answer."""
+    def reply(
+        self, status: int, body: bytes = b"", more: str = "", close: bool = False, sized: bool = True
+    ) -> None:
+        """Answer; one without a length ends with its connection."""
+        close = close or not sized
         if close:
             more += "Connection: close\r\n"
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{more}\r\n".encode()
+        length = f"Content-Length: {len(body)}\r\n" if sized else ""
+        head = f"HTTP/1.1 {status} X\r\n{length}{more}\r\n".encode()
         self.write(head + body)
         if close and self.transport is not None:
             self.transport.close()
@@ -163,18 +169,37 @@
         self._reader: AnswerReader | None = None
         self._transport: asyncio.Transport | None = None
         self._calls = 0
+        self._unwritten: asyncio.TimerHandle | None = None  # the rest of a request that is sent in two pieces
+        self._written_at = 0.0
+        self._answer_begun = False
 
     def carry(self, call: Call, data: bytes) -> None:
-        """Send a request."""
+        """Send a request, now and then in two pieces."""
         assert self._transport is not None
         self.call, call.line, self._reader = call, self, AnswerReader()
         self._calls += 1
-        self._transport.write(data)
+        self._answer_begun = False
+        cut = self.pool.cut(len(data))
+        self._transport.write(data[:cut])
+        if cut < len(data):
+            pause = self.pool.pause_s()
+            self._unwritten = asyncio.get_running_loop().call_later(pause, self._write_rest, data[cut:])
+        else:
+            self._written_at = self.pool.stage.now()
+
+    def _write_rest(self, data: bytes) -> None:
+        self._unwritten = None
+        if self._transport is not None:
+            self._transport.write(data)
+            self._written_at = self.pool.stage.now()
 
     def over(self, answered: bool) -> None:
         """The call on it has ended; without a whole answer the connection is of no use."""
         self.call = None
-        if not answered:
+        unwritten, self._unwritten = self._unwritten, None
+        if unwritten is not None:
+            unwritten.cancel()
+        if not answered or unwritten is not None:
             self.drop()
 
     def drop(self) -> None:
@@ -192,9 +217,17 @@
         self.pool.forget(self)
         transport, self._transport = self._transport, None
         if self.call is not None and transport is not None:
-            reused = self._calls > 1
-            how = "crossed" if self.pool.stage.crossed(transport, reused) else "ended"
-            self.call.end(Result(how))
+            self.call.end(Result("crossed" if self._crossed(transport, exc) else "ended"))
+
+    def _crossed(self, transport: asyncio.Transport, exc: Exception | None) -> bool:
+        """Whether the request on it was not taken: not written whole, or not read."""
+        if self._unwritten is not None:
+            return True
+        if self._answer_begun:
+            return False
+        after = self.pool.stage.now() - self._written_at
+        ending = Ending(self._calls > 1, isinstance(exc, ConnectionResetError), after)
+        return self.pool.stage.crossed(transport, ending)
 
     def data_received(self, data: bytes) -> None:
         """Bytes of the answer."""
@@ -202,6 +235,7 @@
         if call is None or reader is None:
             self.drop()
             return
+        self._answer_begun = True
         try:
             answer = reader.feed(data)
         except BadAnswerError:
@@ -219,10 +253,22 @@
 class Pool:
     """Connections of one process to balancers, kept while they are open. One request at a time on each."""
 
-    def __init__(self, stage: Stage) -> None:
+    def __init__(self, stage: Stage, pieces: float = 0.0, seed: str = "") -> None:
+        """So large a share of requests, drawn by the seed, is sent in two pieces."""
         self.stage = stage
         self.idle: dict[_Line, None] = {}
         self._tasks: dict[asyncio.Task[Any], None] = {}
+        self._pieces, self._chance = pieces, random.Random(f"pieces {seed}")
+
+    def cut(self, length: int) -> int:
+        """How much of a request is sent at once."""
+        if not self._pieces or self._chance.random() >= self._pieces:
+            return length
+        return self._chance.randrange(1, length)
+
+    def pause_s(self) -> float:
+        """The time between two pieces."""
+        return self._chance.uniform(0.001, MOST_PAUSE_S)
 
     def idle_balancer(self) -> str | None:
         """The balancer at the other end of the connection that was used last; None if none is free."""
--- a/passpost/rehearsal/live.py
+++ b/passpost/rehearsal/live.py
@@ -29,12 +29,14 @@
 from passpost.operator.writer import render
 from passpost.rehearsal import carried, model
 from passpost.rehearsal.model import Script
-from passpost.rehearsal.stage import Config, Running, Stage
+from passpost.rehearsal.stage import Config, Ending, Running, Stage
 from passpost.rehearsal.world import Night, World
 
 T = TypeVar("T")
 
+CROSSES_S = 0.5  # on loopback an end arrives at once; the rest is for a busy machine
 LOOK_S = 0.02  # how soon the end of a balancer is seen
+UNUSABLE = "{"  # neither JSON nor TOML
 MOST_BALANCERS = 1_024  # processes on one machine, of some 20 MB each
 
 
@@ -76,6 +78,8 @@
         if isinstance(config, File):
             self._path = stage.folder / f"{name}.toml"
             command, more = ["passpost.cli", "run", str(self._path)], dict(carried.environment(config))
+            if stage.workers > 1:
+                command += ["--workers", str(stage.workers)]
         else:
             self._path = stage.folder / f"{name}.json"
             command, more = ["passpost"], {"EDGE_CONFIG": str(self._path)}
@@ -109,11 +113,20 @@
         if self.alive:
             self.process.send_signal(signal.SIGTERM)
 
+    def interrupt(self) -> None:
+        if self.alive:
+            self.process.send_signal(signal.SIGINT)
+
     def reload(self, config: Config) -> None:
         if self.alive:
             self._write(config)
             self.process.send_signal(signal.SIGHUP)
 
+    def reload_unusable(self) -> None:
+        if self.alive:
+            self._path.write_text(UNUSABLE, encoding="utf-8")
+            self.process.send_signal(signal.SIGHUP)
+
     def kill(self) -> None:
         if self.alive:
             self.alive = False
@@ -127,8 +140,8 @@
     exact = False
     host = HOST
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, workers: int = 1) -> None:
+        self.folder, self.workers = folder, workers
         self._count = 0
         self._begin = time.monotonic()
         self.running: dict[str, _Process] = {}
@@ -173,8 +186,21 @@
     def written_at(self, transport: asyncio.BaseTransport) -> float:
         return self.now()
 
-    def crossed(self, transport: asyncio.BaseTransport, reused: bool) -> bool:
-        return reused  # it can't be seen; only a first request on a connection is sure to have been read
+    def crossed(self, transport: asyncio.BaseTransport, ending: Ending) -> bool:
+        # Bytes that lie unread at a close reset the connection. A plain end may have left before they came, but
+        # not long before; and a first request on a connection is sure to have been read.
+        return ending.reused and (ending.was_reset or ending.after_s < CROSSES_S)
+
+
+def errors_logged(folder: Path) -> list[str]:
+    """Errors that nobody caught, by balancer: the last line of each traceback in its log."""
+    found = []
+    for path in sorted(folder.glob("*.log")):
+        text = path.read_text(encoding="utf-8", errors="replace")
+        for traceback in text.split("Traceback (most recent call last):")[1:]:
+            lines = [line for line in traceback.splitlines() if line and not line.startswith(" ")]
+            found.append(f"{path.stem}: {lines[0] if lines else 'a traceback that is cut off'}")
+    return found
 
 
 def play(
@@ -182,14 +208,18 @@
     seed: int,
     sink: Callable[[str], None] | None = None,
     progress: Callable[[float], None] = lambda share: None,
+    workers: int = 1,
 ) -> Night:
-    """One whole night in real time. `sink` gets attempts as nodes see them, and refusals as clients do."""
+    """One whole night in real time. `sink` gets attempts as nodes see them, and refusals as clients do.
+
+    A sidecar runs as so many `workers`.
+    """
     check(script)
     begun = time.perf_counter()
     with tempfile.TemporaryDirectory(prefix="passpost-") as folder:
 
         async def night() -> Night:
-            stage = LiveStage(Path(folder))
+            stage = LiveStage(Path(folder), workers)
             world = World(stage, script, seed, progress)
             world.watch.sink = sink
             try:
@@ -199,5 +229,6 @@
                     running.kill()
 
         result = uvloop.run(night())
+        result.faults += errors_logged(Path(folder))
     result.wall_s = time.perf_counter() - begun
     return result
--- a/passpost/rehearsal/model.py
+++ b/passpost/rehearsal/model.py
@@ -101,6 +101,7 @@
     connections: Annotated[int, Meta(ge=1, le=1_000_000)] = 1_000
     connect_work_ms: Wait = 0.5  # what a new connection costs a core
     idle_s: Span = 15.0  # a connection idle for so long is closed
+    unsized: Share = 0.0  # of answers tell no length and end with their connection
     crowd: Annotated[float, Meta(ge=0, le=1_000)] = (
         0.0  # cores + crowd x root of cores at work choke it; 0: never
     )
@@ -131,6 +132,7 @@
     backoff_ms: Wait = 50.0
     honour: Share = 0.5  # of refused tries that keep to Retry-After
     impatient: Share = 0.0  # of tries that hang up at some moment before their time is over, and come no more
+    pieces: Share = 0.0  # of requests are sent in two pieces
     notice_s: Moment = 1.0  # after which the front leaves out a balancer that died
 
 
@@ -217,11 +219,17 @@
     ms: Millis = 50.0
 
 
-class Stop(_Event, frozen=True, tag="stop"):
-    """A balancer gets SIGTERM, and is started again `back_s` after it has ended (0: never)."""
+class Stop(_Event, frozen=True, tag="stop", kw_only=True):
+    """A balancer gets SIGTERM, and is started again `back_s` after it has ended (0: never).
+
+    Meanwhile it gets the signals of `then`, one each `every_ms`, as long as it lives: `hup` with its file as it is,
+    `bad-hup` with one that can't be used.
+    """
 
     balancer: str
     back_s: Moment = 1.0
+    then: tuple[Literal["term", "int", "hup", "bad-hup"], ...] = ()
+    every_ms: Millis = 100.0
 
 
 class Reload(_Event, frozen=True, tag="reload"):
--- a/passpost/rehearsal/nodes.py
+++ b/passpost/rehearsal/nodes.py
@@ -84,7 +84,8 @@
     def answer(self, status: int, body: bytes = b"", more: str = "") -> None:
         """Answer, and wait for the next request or the end."""
         self.work = None
-        self.node.when_awake(lambda: self.reply(status, body, more, close=self.full))
+        sized = self.node.is_sized()
+        self.node.when_awake(lambda: self.reply(status, body, more, self.full, sized))
         self._rest()
 
     def _rest(self) -> None:
@@ -127,6 +128,7 @@
         self.machine = Machine(kind, contract, stage.now(), cold)
         self.connections: dict[_Connection, None] = {}
         self._chance = random.Random(f"node {seed} {name} {self.started}")
+        self._lengths = random.Random(f"lengths {seed} {name} {self.started}")
         self._works: dict[int, _Work] = {}
         self._count = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -144,6 +146,10 @@
 
     # ---- listening
 
+    def is_sized(self) -> bool:
+        """Whether the next answer tells its length."""
+        return not self.kind.unsized or self._lengths.random() >= self.kind.unsized
+
     def listen(self, balancer: str, address: Address) -> Address:
         """Listen for one balancer, so that it is known who sends; the result is the address."""
         got, end = listen(self.stage.host, address, lambda: _Connection(self, balancer))
--- a/passpost/rehearsal/stage.py
+++ b/passpost/rehearsal/stage.py
@@ -9,6 +9,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from passpost.host import Address, Host
@@ -19,6 +20,15 @@
 Config = dict[str, Any] | File  # a balancer of the platform's, or a sidecar
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a connection ended under a request."""
+
+    reused: bool  # it had carried a request before
+    was_reset: bool
+    after_s: float  # since the request's last byte was written
+
+
 class Running(ABC):
     """A balancer that has been started. What `launch` is given as `ended` hears its exit status once."""
 
@@ -28,10 +38,18 @@
     def terminate(self) -> None:
         """SIGTERM."""
 
+    @abstractmethod
+    def interrupt(self) -> None:
+        """SIGINT."""
+
     @abstractmethod
     def reload(self, config: Config) -> None:
         """Replace its file and send SIGHUP."""
 
+    @abstractmethod
+    def reload_unusable(self) -> None:
+        """Replace its file by one that can't be used and send SIGHUP."""
+
     @abstractmethod
     def kill(self) -> None:
         """SIGKILL."""
@@ -88,7 +106,7 @@
         """When the bytes that are being read were written; now, where that can't be seen."""
 
     @abstractmethod
-    def crossed(self, transport: asyncio.BaseTransport, reused: bool) -> bool:
+    def crossed(self, transport: asyncio.BaseTransport, ending: Ending) -> bool:
         """Whether the other side closed without having read all that we sent."""
 
 
--- a/passpost/rehearsal/virtual.py
+++ b/passpost/rehearsal/virtual.py
@@ -21,7 +21,7 @@
 from passpost.rehearsal.loop import Process, SimLoop, StuckError
 from passpost.rehearsal.model import Script
 from passpost.rehearsal.network import Network, SimHost, SimTransport
-from passpost.rehearsal.stage import Config, Running, Stage
+from passpost.rehearsal.stage import Config, Ending, Running, Stage
 from passpost.rehearsal.world import Night, World
 from umberworks import interface as face
 from umberworks.rules import Balancer
@@ -72,6 +72,13 @@
 
             self._stage.loop.run_as(self._process, lambda: self._stage.loop.create_task(stop()))
 
+    def interrupt(self) -> None:
+        self.terminate()
+
+    def reload_unusable(self) -> None:
+        if self.alive and isinstance(self.node, Node):
+            self._stage.loop.run_as(self._process, self.node.reload_failed)
+
     def reload(self, config: Config) -> None:
         if not self.alive:
             return
@@ -188,7 +195,7 @@
         assert isinstance(transport, SimTransport)
         return transport.end.sent_at
 
-    def crossed(self, transport: asyncio.BaseTransport, reused: bool) -> bool:
+    def crossed(self, transport: asyncio.BaseTransport, ending: Ending) -> bool:
         assert isinstance(transport, SimTransport)
         return transport.end.in_flight > 0  # on their way still, or unread when it closed
 
--- a/passpost/rehearsal/world.py
+++ b/passpost/rehearsal/world.py
@@ -394,6 +394,8 @@
         if isinstance(self._configs[name], File) and self._file is not None:
             bound = self._file.drain.kill_after_s
         begun = self.stage.now()
+        for number, what in enumerate(event.then, 1):
+            self._after(number * event.every_ms / 1000, lambda what=what: self._signal(name, running, what))  # type: ignore[misc]
 
         def look() -> None:
             if running.alive and self.stage.now() < begun + bound:
@@ -408,6 +410,21 @@
 
         look()
 
+    def _signal(self, name: str, running: Running, what: str) -> None:
+        """One more signal for a balancer that has had SIGTERM."""
+        if not running.alive:
+            return
+        self._say(f"{name} gets {what}")
+        match what:
+            case "term":
+                running.terminate()
+            case "int":
+                running.interrupt()
+            case "hup":
+                running.reload(self._configs[name])
+            case "bad-hup":
+                running.reload_unusable()
+
     def _reload(self, name: str) -> None:
         running = self._balancers.get(name)
         if running is None or not running.alive:
