--- a/passpost/rehearsal/world.py
+++ b/passpost/rehearsal/world.py
@@ -86,7 +86,9 @@
         seed: int,
         progress: Callable[[float], None],
         file: File | None = None,
+        ready_within: float | None = None,
     ) -> None:
+        """`ready_within`: seconds after its start in which each front has to be ready; None: not looked at."""
         speech = Speech()
         if script.sidecar is not None:
             file = file or carried.read(script.sidecar.file)
@@ -107,6 +109,9 @@
         self._tier_of_balancer: dict[str, int] = {}
         self._downs: list[tuple[str, float, float, str]] = []  # excuses: balancer, from, until, why
         self._over = False
+        self._ready_within = ready_within
+        self._launched: dict[str, float] = {}  # when each balancer was last started ...
+        self._stopped: dict[str, float] = {}  # ... and last told to stop
         self.registry = Registry(
             stage,
             self.watch,
@@ -158,10 +163,24 @@
         while stage.now() < end or (not self.clients.is_over() and stage.now() < end + longest + 1.0):
             await asyncio.sleep(0.25)
             self._progress(min((stage.now() - begin) / script.length_s, 1.0))
+        if self._ready_within is not None:
+            await self._until_ready(fronts, self._ready_within)
         if self.clients.open:
             self.night.faults.append(f"{self.clients.open} requests never ended")
         return self._finish()
 
+    async def _until_ready(self, fronts: list[str], within: float) -> None:
+        """Wait for balancers that are stopping or starting still; one that takes too long is a fault."""
+        waiting = fronts
+        while waiting := [name for name in waiting if not self.clients.front.is_ready(name)]:
+            now = self.stage.now()
+            for name in waiting:
+                started = self._launched[name]
+                if started > self._stopped.get(name, -math.inf) and now > started + within:
+                    self.night.faults.append(f"{name} was not ready {within:g} s after its start")
+                    return
+            await asyncio.sleep(0.05)
+
     def _finish(self) -> Night:
         self._over = True
         night = self.night
@@ -239,6 +258,7 @@
             self._addresses[name] = self.stage.free_address()
         listed = self.stage.run_as("discovery", lambda: self.registry.serve(name))
         known = self.registry.balancer_started(name)
+        self._launched[name] = self.stage.now()
         self._configs[name] = config = self._config(name, self._addresses[name], listed, known)
         self._balancers[name] = self.stage.launch(name, config, lambda status: self._ended(name, status))
 
@@ -389,6 +409,7 @@
         self._say(f"{name} gets SIGTERM")
         if name in self.clients.front.addresses:
             self.stage.run_as("clients", lambda: self.clients.front.stopping(name))
+        self._stopped[name] = self.stage.now()
         running.terminate()
         bound = min(max(c.deadline_ms for c in self.script.classes) / 1000, LONGEST_S) + KILL_AFTER_S
         if isinstance(self._configs[name], File) and self._file is not None:
