cold.py becomes slow_start.py: SlowStart in place of Cold, the field's word

Also: the list of modules that a platform's start loads names passpost.signals. The check itself stays as strict: it names every module.

--- a/passpost/recorder.py
+++ b/passpost/recorder.py
@@ -61,7 +61,7 @@
             "spent_ms": f"{room._spent:.0f}",
             "savings": f"{self._retries:.1f}",
             "counted": int(self._counted),
-            "cold": sum(self._cold.warmth(s, now) < 1 for s in ready),
+            "cold": sum(self._slow_start.warmth(s, now) < 1 for s in ready),
             **self._counts,
         }
         each = " ".join(
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -140,6 +140,7 @@
         "passpost.http1",
         "passpost.listing",
         "passpost.node",
+        "passpost.signals",
         "passpost.streams",
         "passpost.upstreams",
         "passpost.upstreams.attempt",
@@ -149,7 +150,6 @@
         "umberworks",
         "umberworks.asking",
         "umberworks.books",
-        "umberworks.cold",
         "umberworks.crowd",
         "umberworks.inherit",
         "umberworks.interface",
@@ -160,6 +160,7 @@
         "umberworks.rules",
         "umberworks.servers",
         "umberworks.shares",
+        "umberworks.slow_start",
         "umberworks.wire",
     ]
     roots = {m.partition(".")[0] for m in loaded}
--- a/tests/rehearsal/nights.py
+++ b/tests/rehearsal/nights.py
@@ -12,8 +12,8 @@
 from passpost.rehearsal.virtual import play
 from passpost.rehearsal.world import Night
 from umberworks import interface as face
-from umberworks.cold import Cold
 from umberworks.rules import Balancer
+from umberworks.slow_start import SlowStart
 
 FRAME = Class(name="frame", work_ms=40, aim_ms=600, deadline_ms=2_000)
 SUBMIT = Class(name="submit", work_ms=20, aim_ms=400, deadline_ms=1_500, effect="keyed", window_ms=1_000)
@@ -69,7 +69,7 @@
         return super().handle(event, now)
 
 
-class _AllWarm(Cold):
+class _AllWarm(SlowStart):
     def warmth(self, server: Any, now: float) -> float:
         return 1.0
 
@@ -82,7 +82,7 @@
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self._cold = _AllWarm(settings, self._random)
+        self._slow_start = _AllWarm(settings, self._random)
 
     def _has_room(self) -> bool:
         return True
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -16,8 +16,8 @@
 
 from tests.helpers import Desk
 from tests.test_fleet import COLD_FROM, COLD_MS, FACTOR, SERVERS, TAKES_MS, WINDOW_MS, Fleet
-from umberworks.cold import LEAST_CORES
 from umberworks.interface import Attached, Detached, Member
+from umberworks.slow_start import LEAST_CORES
 
 LONG_CALL_MS = 5 * TAKES_MS
 
--- a/tests/test_detached.py
+++ b/tests/test_detached.py
@@ -63,13 +63,13 @@
     desk.tell(Attached("s1", desk.now))
     balancer = desk.balancer
     server = balancer._servers["s1"]
-    assert balancer._cold.warmth(server, desk.now) == 0.2
+    assert balancer._slow_start.warmth(server, desk.now) == 0.2
     assert server.served == 0  # what was known of it was of another process
     desk.show(*members(4))  # an old list does not make it warm
-    assert balancer._cold.warmth(server, desk.now) == 0.2
-    assert balancer._cold.warmth(server, desk.now + 10_000) == 1.0
+    assert balancer._slow_start.warmth(server, desk.now) == 0.2
+    assert balancer._slow_start.warmth(server, desk.now + 10_000) == 1.0
     desk.show(replace(members(4)[1], up_since_ms=desk.now + 4_000), kind=ListKind.CHANGES)
-    assert balancer._cold.warmth(server, desk.now + 4_000) == 0.2
+    assert balancer._slow_start.warmth(server, desk.now + 4_000) == 0.2
 
 
 def test_one_put_back_is_in_use_again_at_once_though_it_is_cold_and_others_are_idle() -> None:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -36,7 +36,7 @@
     balancer = started._balancer
     for age, wanted in ((0.0, 0.25), (12_000.0, 0.625), (24_000.0, 1.0)):
         fresh = type("Server", (), {"member": Member("a", up_since_ms=now - age), "back_at": 0.0})
-        assert balancer._cold.warmth(fresh, now) == pytest.approx(wanted)  # type: ignore[arg-type]
+        assert balancer._slow_start.warmth(fresh, now) == pytest.approx(wanted)  # type: ignore[arg-type]
 
 
 def test_settings_are_read_by_the_simulators_names() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,7 +11,6 @@
 import pytest
 
 from tests.helpers import READ, Desk, sent
-from umberworks.cold import LEAST_CORES
 from umberworks.interface import (
     Action,
     Event,
@@ -25,6 +24,7 @@
     Subscribe,
     TimerDue,
 )
+from umberworks.slow_start import LEAST_CORES
 
 BALANCERS, SERVERS, TAKES_MS = 10, 16, 30.0
 COLD_MS, FACTOR, WINDOW_MS, COLD_FROM = 24_000.0, 3.0, 1_500.0, 0.15
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -12,7 +12,6 @@
 import pytest
 
 from tests.helpers import CLASSES, settings
-from umberworks.cold import LEAST_CORES
 from umberworks.interface import (
     Action,
     AttemptEnded,
@@ -37,6 +36,7 @@
     TimerDue,
 )
 from umberworks.rules import Balancer
+from umberworks.slow_start import LEAST_CORES
 
 GRACE_MS = 20.0
 TAKES_MS = 80.0  # mean of a call at a warm server
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -145,8 +145,10 @@
     balancer._fleet.keep(3_000, 1.0, desk.now)
     monkeypatch.setattr(balancer, "_choose", lambda: None)
     looked = Counter[str]()
-    monkeypatch.setattr(balancer._cold, "has_room", lambda server, now: looked.update([server.member.server]))
-    balancer._cold.until = math.inf
+    monkeypatch.setattr(
+        balancer._slow_start, "has_room", lambda server, now: looked.update([server.member.server])
+    )
+    balancer._slow_start.until = math.inf
     assert balancer._pick(request(), desk.now) is None
     assert looked.total() <= TRIALS + WALK
 
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -14,7 +14,6 @@
 from umberworks import interface as face
 from umberworks.asking import Asking
 from umberworks.books import Books
-from umberworks.cold import Cold
 from umberworks.crowd import Crowd
 from umberworks.inherit import Heritage, told
 from umberworks.interface import Effect, ListKind, Outcome, RepeatGroup
@@ -24,6 +23,7 @@
 from umberworks.room import RATE_MEMORY_MS, Room
 from umberworks.servers import MEMORY_MS, Fleet, Pick, Server
 from umberworks.shares import Shares
+from umberworks.slow_start import SlowStart
 
 FEW = 16  # of up to so many servers a pick walks over all, which takes as long as trials
 WALK = 512  # servers that are looked at where a walk over all would hold up every request
@@ -60,7 +60,7 @@
         self._rest, self._heritage, self._kinds = Rest(), Heritage(), Kinds(settings.sizes_exact)
         self._books = Books(self._room, self._fleet, self._crowd)
         self._tries = {c.name: Tries() for c in settings.classes}
-        self._median, self._median_at, self._cold = 0.0, -math.inf, Cold(settings, self._random)
+        self._median, self._median_at, self._slow_start = 0.0, -math.inf, SlowStart(settings, self._random)
         self._shares = Shares(settings.tenants, settings.balancers)
         self._asking = Asking(settings, self._random)
         self._asked, self._counted, self._sliver = False, False, False
@@ -124,7 +124,7 @@
         for member in event.members:
             server = self._servers.get(member.server)
             if server is None:
-                server = Server(member, now, self._random.random(), self._cold.warmth)
+                server = Server(member, now, self._random.random(), self._slow_start.warmth)
                 self._servers[member.server] = server
                 self._heritage.give(server)
             size = self._kinds.size(member)
@@ -135,7 +135,7 @@
             server.member, server.size = member, size
             server.listed = member.readiness is face.Readiness.READY
             self._is_fit(server, server.listed and member.server not in self._detached)
-            self._cold.started(member.up_since_ms)
+            self._slow_start.started(member.up_since_ms)
         for name, server in list(self._leaving.items()):
             if server.listed or not server.in_flight:
                 del self._leaving[name]
@@ -149,7 +149,7 @@
         server = self._servers.get(event.server)
         was_out = event.server in self._detached
         self._detached.discard(event.server)
-        self._cold.started(event.at_ms)
+        self._slow_start.started(event.at_ms)
         if server is not None and (was_out or server.back_at < event.at_ms):
             server.back_at = max(server.back_at, event.at_ms)
             self._is_fit(server, False)
@@ -183,7 +183,9 @@
         ready = len(self._fleet.ready)
         self._counted = ready >= self._settings.balancers  # else a count of calls out is chance
         self._sliver = self._settings.sizes_exact and calls < CALLS_EACH * ready
-        self._cold.learn(self._fleet.ready[: min(self._fleet.keeps, WALK)], self._now)  # ranks are drawn
+        self._slow_start.learn(
+            self._fleet.ready[: min(self._fleet.keeps, WALK)], self._now
+        )  # ranks are drawn
 
     # ---- a request's path -----------------------------------------------------------------------
 
@@ -377,7 +379,7 @@
         """Draw servers by capacity and take the one least loaded after this call."""
         median = self._known_median(now)
         count, harmless = self._able(request, now)
-        cold, tried = now < self._cold.until, [a.server for a in request.attempts]
+        cold, tried = now < self._slow_start.until, [a.server for a in request.attempts]
         pick = Pick(self._random, now, median, cold, self._sliver)
         crowded = self._counted and self._crowd.tells and harmless is None  # a repeat has few places to go
 
@@ -387,7 +389,7 @@
             def test(server: Server) -> bool:
                 return (
                     (harmless is None or harmless(server))
-                    and (not cold or self._cold.has_room(server, now))
+                    and (not cold or self._slow_start.has_room(server, now))
                     and (not crowded or (self._crowd.has_room(server, now) and server.rests_until <= now))
                 )
 
@@ -415,7 +417,7 @@
         window = self._settings.cold_window_ms
         due = (s for s in self._back if s.fit and now - s.last_sent >= window)
         # Many balancers may be told at one moment: the budget of all holds here too.
-        return next((s for s in due if self._cold.has_room(s, now)), None)
+        return next((s for s in due if self._slow_start.has_room(s, now)), None)
 
     def _look(self, count: int, test: Callable[[Server], bool] | None, request: Request) -> list[Server]:
         """The first ready servers that pass a test, of so many that a walk over them is short."""
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -48,7 +48,7 @@
     def forget(self, now: float) -> None:
         """Drop the evidence: the process behind the name is a new one."""
         self.served, self.busy, self.seen = 0.0, 0.0, now
-        self.turn_ends, self.has_turn = now, False  # see cold.py
+        self.turn_ends, self.has_turn = now, False  # see slow_start.py
         self.crowd = float(self.live)  # our calls there, in the mean over a third of that memory
         self.carries, self.usual_time = 0.0, 0.0  # see crowd.py; 0: not known
         self.recent, self.recent_calls = 0.0, 0.0  # served over that memory: aims in ms, calls
--- a/umberworks/cold.py
+++ b/umberworks/slow_start.py
@@ -21,7 +21,7 @@
 LEAST_BUDGET = 3.0  # calls in a window that the rule lets pass, however little a server can do
 
 
-class Cold:
+class SlowStart:
     """Warmth by age, and the pace that it allows."""
 
     def __init__(self, settings: face.Settings, chance: random.Random) -> None:
