--- a/passpost/rehearsal/restarts.py
+++ b/passpost/rehearsal/restarts.py
@@ -16,6 +16,7 @@
 LAST_STOP_S = 2.5  # later ones would leave the new process no time to be ready
 READY_S = 10.0  # after its start a balancer has to be ready
 BACK_S = (0.05, 0.6)
+SOCKETS = (64, 1_024)  # descriptors; of few, callers fill theirs
 MOST_SIGNALS = 8
 SIGNALS = ("term", "int", "hup", "bad-hup")
 SIDECAR_EVERY, WORKERS_EVERY = (
@@ -72,6 +73,9 @@
     names = tuple(n for n in base.node_names() if n.startswith(f"{base.tiers[0].name}-"))
     fronts = tuple(f"b{i + 1}" for i in range(base.tiers[0].balancers))
     events = [*_restarts(chance, fronts), *_troubles(chance, names)]
+    if base.sidecar is None:  # else the operator's file says it
+        contract = msgspec.structs.replace(base.contract, sockets=chance.choice(SOCKETS))
+        base = msgspec.structs.replace(base, contract=contract)
     script = msgspec.structs.replace(
         base,
         title=f"Restarts, seed {seed}",
--- a/passpost/rehearsal/world.py
+++ b/passpost/rehearsal/world.py
@@ -14,7 +14,7 @@
 
 from passpost.host import Address
 from passpost.operator.model import Discovered, File
-from passpost.rehearsal import carried, model
+from passpost.rehearsal import carried, model, platform_file
 from passpost.rehearsal.clients import Clients, Job
 from passpost.rehearsal.model import Kind, Script, Tier
 from passpost.rehearsal.nodes import Effects, Node
@@ -27,7 +27,6 @@
 SAMPLE_S = 0.5
 KILL_AFTER_S = 0.7  # SIGKILL follows SIGTERM no sooner than the longest deadline and this ...
 LONGEST_S = 3.0  # ... of which so much counts at most
-EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
 
 
 @dataclass
@@ -266,58 +265,9 @@
         tier = self._tier_of_balancer[name]
         if self._file is not None and tier == 0:
             return carried.placed(self._file, self.script, listen, listed)
-        return {
-            "name": name,
-            "listen": f"{listen[0]}:{listen[1]}",
-            "discovery": f"{listed[0]}:{listed[1]}",
-            "seed": f"{self._random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.script.contract.sockets},
-            "known": known,
-            "settings": self._settings(tier),
-        }
-
-    def _settings(self, tier: int) -> dict[str, Any]:
-        contract, discovery = self.script.contract, self.script.discovery
-        before = self.script.tiers[tier - 1] if tier else None
-        balancers = sum(k.count for k in before.kinds) if before else self.script.tiers[0].balancers
-        return {
-            "balancers": balancers,
-            "tier": tier,
-            "tick": 1.0,
-            "discovery": discovery.mode,
-            "classes": [
-                {
-                    "name": c.name,
-                    "target": c.aim_ms,
-                    "deadline": c.deadline_ms,
-                    "effect": EFFECTS[c.effect],
-                    "keyScope": "all",
-                    "repeatWindow": c.window_ms,
-                    "worth": c.worth,
-                    "lateShare": c.late_share,
-                }
-                for c in self.script.classes
-            ],
-            "orgs": [{"name": t.name, "quotaPerS": t.quota_per_s} for t in self.script.tenants],
-            "limits": {
-                "attemptsCap": contract.attempts,
-                "mayCancel": contract.cancel,
-                "mayDuplicate": contract.second_copies,
-                "retryAfter": contract.retry_after_ms > 0,
-                "maxRetryAfter": contract.retry_after_ms,
-                "connectTimeout": contract.connect_timeout_ms,
-                "connIdle": min(k.idle_s for k in self.script.tiers[tier].kinds) * 1000,
-            },
-            "contract": {
-                "drainGrace": contract.drain_grace_ms,
-                "askWithin": contract.ask_within_ms,
-                "cold": contract.cold_ms,
-                "coldFrom": contract.cold_from,
-                "overloadFactor": contract.overload_factor,
-                "tipAfter": contract.overload_ms,
-                "graceToAnswer": 16.0,
-            },
-        }
+        return platform_file.configuration(
+            self.script, tier, name, listen, listed, known, self._random.getrandbits(64)
+        )
 
     def _ended(self, name: str, status: int | None) -> None:
         """A balancer has ended: told to, killed by us, or it has crashed."""
