The last worker's listener is the last: what comes up while it ends is answered or refused

Cause: a listening socket lives as long as one descriptor of it. Workers kept the passed descriptor until their processes had gone, and the parent its own until all had, so that the kernel accepted for nobody after the last worker had closed its copy. Ruled out: the drain itself; one process does not show it.

Mend: a worker closes what was passed when it begins to stop, and the parent its own once all workers end and none will be started.

--- a/passpost/cli/run.py
+++ b/passpost/cli/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+from contextlib import ExitStack
 
 import click
 import uvloop
@@ -59,6 +60,7 @@
     """Run until SIGTERM or SIGINT."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     running: list[sidecar.Sidecar] = []
+    before_stop = ExitStack()
 
     def reload() -> None:
         for one in running:
@@ -72,9 +74,11 @@
         worker.follow_parent(stop)
         running.append(sidecar.start(path, worker.host, lambda file: divided(file, worker.count)))
         worker.is_ready()
+        before_stop.callback(worker.host.release)
     else:
         running.append(sidecar.start(path))
     await stop.wait()
     logging.getLogger("passpost").info("stopping: finishing what was taken")
+    before_stop.close()
     await running[0].stop()
     signals.ignore()
--- a/passpost/workers/plan.py
+++ b/passpost/workers/plan.py
@@ -181,6 +181,10 @@
         starts = [s.start_at for s in self._slots if s.state is State.OFF]
         return min(starts + ([self._next_tell] if self._told else []), default=None)
 
+    def starts_none(self) -> bool:
+        """Whether all workers end or have ended, and none will be started."""
+        return self._stop_at is not None and all(s.state in (State.DRAINING, State.OFF) for s in self._slots)
+
     # ---- what is done
 
     def _start(self, slot: int, now: float) -> Action:
--- a/passpost/workers/supervisor.py
+++ b/passpost/workers/supervisor.py
@@ -74,6 +74,12 @@
             raise OSError(f"no listening socket for {name} was passed")
         return socket.socket(fileno=os.dup(self._descriptors[name]))
 
+    def release(self) -> None:
+        """Close what was passed, as nothing more is listened on: a listener ends with the last of its descriptors."""
+        for descriptor in self._descriptors.values():
+            os.close(descriptor)
+        self._descriptors = {}
+
 
 class Worker:
     """What a worker process finds in its environment."""
@@ -140,8 +146,6 @@
         signals = Signals(loop, self.reload, lambda: self._do(self._plan.stop(loop.time())))
         self._do(self._plan.begin(loop.time()))
         status = await self._status
-        for one in self._sockets.values():
-            one.close()
         signals.ignore()
         return status
 
@@ -167,6 +171,12 @@
         if changes:
             self._do(self._plan.renew(now) if renews else self._plan.reread(now))
 
+    def _close_listeners(self) -> None:
+        """Leave the listeners to the workers: what comes up here once the last has ended, nobody would accept."""
+        for one in self._sockets.values():
+            one.close()
+        self._sockets.clear()
+
     # ---- the plan's actions
 
     def _do(self, actions: list[Action]) -> None:
@@ -184,6 +194,8 @@
                 case End(status):
                     if self._status is not None and not self._status.done():
                         self._status.set_result(status)
+        if self._plan.starts_none():
+            self._close_listeners()
         if self._timer is not None:
             self._timer.cancel()
         self._timer = None
--- a/tests/workers/test_last_worker.py
+++ b/tests/workers/test_last_worker.py
@@ -2,6 +2,10 @@
 
 What happens. Seed 3012 of the soak (`python benchmarks/restarts.py --seeds 1 --first 3012`, two workers): request
 t340 goes out on a new connection at 6.830 s, in the end of a drain, and is "closed with no whole answer" at 6.907 s.
+
+Why. A listening socket lives as long as one descriptor of it. Workers accept by a copy of the descriptor that their
+parent passed, and kept the passed one until they had gone; the parent kept its own until then too. So connections
+came up after the last worker had emptied the queue and closed its copy, and were reset with the parent's end.
 """
 
 from __future__ import annotations
