--- a/passpost/rehearsal/http.py
+++ b/passpost/rehearsal/http.py
@@ -225,8 +225,13 @@
             return True
         if self._answer_begun:
             return False
-        after = self.pool.stage.now() - self._written_at
-        ending = Ending(self._calls > 1, isinstance(exc, ConnectionResetError), after)
+        ending = Ending(
+            balancer=self.balancer,
+            reused=self._calls > 1,
+            was_reset=isinstance(exc, ConnectionResetError),
+            written_at=self._written_at,
+            ended_at=self.pool.stage.now(),
+        )
         return self.pool.stage.crossed(transport, ending)
 
     def data_received(self, data: bytes) -> None:
--- a/passpost/rehearsal/live.py
+++ b/passpost/rehearsal/live.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import socket
@@ -74,7 +75,7 @@
     def __init__(
         self, stage: LiveStage, name: str, config: Config, ended: Callable[[int | None], None]
     ) -> None:
-        self._ended, self._stage = ended, stage
+        self._ended, self._stage, self._name = ended, stage, name
         if isinstance(config, File):
             self._path = stage.folder / f"{name}.toml"
             command, more = ["passpost.cli", "run", str(self._path)], dict(carried.environment(config))
@@ -130,6 +131,7 @@
     def kill(self) -> None:
         if self.alive:
             self.alive = False
+            self._stage.killed_at[self._name] = self._stage.now()
             self.process.kill()
             self.process.wait()
 
@@ -142,6 +144,7 @@
 
     def __init__(self, folder: Path, workers: int = 1) -> None:
         self.folder, self.workers = folder, workers
+        self.killed_at: dict[str, float] = {}  # balancers that were killed, and when last
         self._count = 0
         self._begin = time.monotonic()
         self.running: dict[str, _Process] = {}
@@ -187,9 +190,12 @@
         return self.now()
 
     def crossed(self, transport: asyncio.BaseTransport, ending: Ending) -> bool:
+        # A balancer that was killed had closed nothing until then: what was written to it before is lost.
+        if ending.written_at < self.killed_at.get(ending.balancer, -math.inf):
+            return False
         # Bytes that lie unread at a close reset the connection. A plain end may have left before they came, but
         # not long before; and a first request on a connection is sure to have been read.
-        return ending.reused and (ending.was_reset or ending.after_s < CROSSES_S)
+        return ending.reused and (ending.was_reset or ending.ended_at - ending.written_at < CROSSES_S)
 
 
 def errors_logged(folder: Path) -> list[str]:
--- a/passpost/rehearsal/stage.py
+++ b/passpost/rehearsal/stage.py
@@ -24,9 +24,11 @@
 class Ending:
     """How a connection ended under a request."""
 
+    balancer: str  # at the other end
     reused: bool  # it had carried a request before
     was_reset: bool
-    after_s: float  # since the request's last byte was written
+    written_at: float  # the request's last byte
+    ended_at: float
 
 
 class Running(ABC):
