--- a/passpost/rehearsal/restarts.py
+++ b/passpost/rehearsal/restarts.py
@@ -119,7 +119,7 @@
                 balancer=front,
                 back_s=round(chance.uniform(*BACK_S), 3),
                 then=series,  # type: ignore[arg-type]
-                every_ms=chance.choice((1.0, 20.0, 150.0, 400.0)),
+                every_ms=chance.choice((1.0, 20.0, 150.0, 400.0, 800.0)),
             )
         )
     return events
