--- a/passpost/rehearsal/live.py
+++ b/passpost/rehearsal/live.py
@@ -194,8 +194,8 @@
         if ending.written_at < self.killed_at.get(ending.balancer, -math.inf):
             return False
         # Bytes that lie unread at a close reset the connection. A plain end may have left before they came, but
-        # not long before; and a first request on a connection is sure to have been read.
-        return ending.reused and (ending.was_reset or ending.ended_at - ending.written_at < CROSSES_S)
+        # not long before; and a whole first request on a connection is sure to have been read.
+        return ending.known and (ending.was_reset or ending.ended_at - ending.written_at < CROSSES_S)
 
 
 def errors_logged(folder: Path) -> list[str]:
--- a/passpost/rehearsal/stage.py
+++ b/passpost/rehearsal/stage.py
@@ -25,7 +25,7 @@
     """How a connection ended under a request."""
 
     balancer: str  # at the other end
-    reused: bool  # it had carried a request before
+    known: bool  # the other side knew it by a request before, or by half of this one
     was_reset: bool
     written_at: float  # the request's last byte
     ended_at: float
