review: no answer to the request after several that came at once

Need: the independent review; the rule "No request is lost".

The stand-ins now end their tasks before the loop closes.

--- a/review/common.py
+++ b/review/common.py
@@ -115,7 +115,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
-        self.host_port = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.host_port = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -173,7 +173,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -423,6 +423,12 @@
     finally:
         for process in started:
             process.end()
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
     result = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "could not run"}[status]
     record.write(f"{'with' if trouble else 'without'} the disruption: {result}")
     print(f"{folder.name}: {'with' if trouble else 'without'} the disruption: {result}")
