review: records name no path of the machine

Need: case 2 puts the balancer's log into its record, and the tracebacks there named the folder of the checkout.

Change: Record.write leaves out the prefixes of the checkout, of the interpreter and of the temporary folder.

Result: no such path in the records of a run of each case.

--- a/review/common.py
+++ b/review/common.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -33,10 +34,13 @@
 
     def __init__(self, folder: Path) -> None:
         self._start = time.monotonic()
+        self.hidden = [str(ROOT), sys.base_prefix]
         self._file = (folder / "record.txt").open("w", encoding="utf-8")
 
     def write(self, text: str) -> None:
-        """Add a line, with the seconds since the start."""
+        """Add a line, with the seconds since the start; paths of the machine are left out."""
+        for prefix in self.hidden:
+            text = text.replace(f"{prefix}/", "")
         self._file.write(f"{time.monotonic() - self._start:8.3f} {text}\n")
         self._file.flush()
 
@@ -212,6 +216,7 @@
     def __init__(self, record: Record, config: dict[str, Any]) -> None:
         self._record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+        record.hidden.append(str(self.folder))
         self.port = free_port()
         config["listen"] = f"127.0.0.1:{self.port}"
         (self.folder / "tmp").mkdir()
