Repeat a keyed request only within the group that its attempt was sent to

What callers saw: a keyed request took effect twice.

Cause: the decision module took the group of what had run from the server's entry of the moment (`ran.server.member`), and an entry is replaced by whatever the list says next. Long lists are applied as changes, where a server that is gone is `Member(name, GONE)` with cell 0 and zone "". A server that returns in another cell changed the group in the same way, with short lists too.

Invariant: where a repeat may go follows from the list entry that the server had when the attempt was sent. `Attempt` keeps that entry, and `_candidates` reads no other; every list, change, ban, move and handover goes past it.

--- a/umberworks/requests.py
+++ b/umberworks/requests.py
@@ -13,10 +13,15 @@
 
 
 class Attempt:
-    """One attempt; `out` until it has ended, and `ran` until its outcome proves that it had no effect."""
+    """One attempt; `out` until it has ended, and `ran` until its outcome proves that it had no effect.
+
+    `member` is the list entry of its server as of the send. Which servers drop a repeat follows from this entry
+    alone: the one that the server has now may be of another process, of another cell, or say only that it is gone.
+    """
 
     def __init__(self, server: Server, now: float, timeout: float) -> None:
-        self.server, self.sent, self.times_out_at = server, now, now + timeout
+        self.server, self.member = server, server.member
+        self.sent, self.times_out_at = now, now + timeout
         self.out, self.ran = True, True
         self.counted = False  # it counts as in flight, as its server has received the whole request
 
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -357,7 +357,7 @@
             return fleet.subset_size, None
         if cls.effect is Effect.ONCE or now >= ran.sent + cls.dedup_window_ms - self._settings.tick_ms:
             return 0, None
-        sent, first, group = ran.sent, ran.server.member, cls.dedup_scope
+        sent, first, group = ran.sent, ran.member, cls.dedup_scope
 
         def drops_repeats(server: Server) -> bool:
             # A server that restarted since the first attempt may have lost its record of it.
