--- a/umberworks/requests.py
+++ b/umberworks/requests.py
@@ -15,8 +15,8 @@
 class Attempt:
     """One attempt; `out` until it has ended, and `ran` until its outcome proves that it had no effect.
 
-    `member` is the list entry of its server as of the send. Which servers drop a repeat follows from this entry
-    alone: the one that the server has now may be of another process, of another cell, or say only that it is gone.
+    `member` is the list entry of its server as of the send. Which servers drop a repeat follows from this
+    entry alone: the present one may be of another process or cell, or say only that the server is gone.
     """
 
     def __init__(self, server: Server, now: float, timeout: float) -> None:
