Tell the module which attempt answers before others end for that reason

Cause: `_start_answer` ended the duplicate that was still connecting before it told the module whose answer had begun. The module heard "an attempt has ended, the request is answered", cancelled all others, so the very attempt that answered, and forgot the request. That attempt ended while it had no sink yet; `caller.begin` then started an answer that nothing could end any more.

Invariants, each kept in one place: `Engine._start_answer` posts ResponseStarted before any end that follows from it; `Attempt.start` ends a sink that was started for an attempt which is over.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -337,14 +337,18 @@
         length: int | None,
         source: Source,
     ) -> Sink | None:
-        """Start streaming an attempt's answer to the client; None if the request already has its final answer."""
+        """Start streaming an attempt's answer to the client; None if the request already has its final answer.
+
+        The module learns which attempt answers before it learns that others have ended for that reason. Otherwise it
+        would take the end of another attempt for a sign that this one is not needed, and cancel it.
+        """
         if request.finished:
             return None
         request.started_attempt = request.attempts[index]
-        self._finish(number, request)
-        sink = request.caller.begin(answer, length, source)
+        self._mark_finished(request)
         self._post(interface.ResponseStarted(number, index))
-        return sink
+        self._end_unwritten(request)
+        return request.caller.begin(answer, length, source)
 
     def _on_attempt_ended(
         self,
@@ -374,22 +378,30 @@
             self._post(interface.AttemptEnded(number, index, server, outcome, request.finished))
 
     def _finish(self, number: int, request: _OpenRequest) -> bool:
-        """Mark a request as finished; True only the first time, when its answer may be sent.
+        """Mark a request as finished; True only the first time, when its answer may be sent."""
+        if request.finished:
+            return False
+        self._mark_finished(request)
+        self._end_unwritten(request)
+        self._remove_if_done(number, request)
+        return True
+
+    def _mark_finished(self, request: _OpenRequest) -> None:
+        """Record that a request has its final answer, or that its client has disconnected.
 
         The deadline timer of a started answer keeps running until that answer ends, unless answers may outlive it.
         """
-        if request.finished:
-            return False
         request.finished = True
         if request.deadline_timer is not None and (
             request.started_attempt is None or self._unbounded_answers
         ):
             request.deadline_timer.cancel()
+
+    def _end_unwritten(self, request: _OpenRequest) -> None:
+        """End the attempts that are not sent yet: nothing may be sent upstream after the final answer."""
         for attempt in request.attempts:
             if attempt is not None and attempt is not request.started_attempt and not attempt.is_written():
-                attempt.end(Outcome.NOT_SENT)  # nothing may be sent upstream after the final answer
-        self._remove_if_done(number, request)
-        return True
+                attempt.end(Outcome.NOT_SENT)
 
     def _remove_if_done(self, number: int, request: _OpenRequest) -> None:
         if request.finished and not request.unfinished_attempts:
--- a/passpost/upstreams/attempt.py
+++ b/passpost/upstreams/attempt.py
@@ -89,11 +89,18 @@
             self._timer = asyncio.get_running_loop().call_later(timeout, self._timed_out)
 
     def start(self, answer: Answer, length: int | None, source: Source) -> bool:
-        """Start to stream the answer and stop the time-out; false if nobody wants the answer any more."""
+        """Start to stream the answer and stop the time-out; false if nobody wants the answer any more.
+
+        A sink that has been started is always ended: here if the attempt ended meanwhile, otherwise with the attempt.
+        """
         if self._timer is not None:
             self._timer.cancel()
-        self.sink = self.on_answer_start(answer, length, source)
-        return self.sink is not None
+        sink = self.on_answer_start(answer, length, source)
+        if sink is not None and self.is_over():
+            sink.truncate()
+            return False
+        self.sink = sink
+        return sink is not None
 
     def answer_deadline(self, due: float) -> float:
         """Until when an answer that has begun may go on if its request's time is up at `due`."""
--- /dev/null
+++ b/tests/test_connecting.py
@@ -0,0 +1,283 @@
+"""What becomes of a request whose second attempt ends while its connection to an upstream is coming up.
+
+On the simulated clock and network. Each request is sent to one upstream, which works for `WORK_S`; a duplicate follows
+to the other upstream, whose connections do not come up until the test says so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from passpost import config
+from passpost.http1 import Answer, AnswerReader
+from passpost.listing import parse_listing
+from passpost.node import Node
+from passpost.rehearsal.loop import Process, SimLoop
+from passpost.rehearsal.network import Network, SimHost
+from passpost.rehearsal.stage import listen
+from passpost.streams import STREAM_ABOVE_BYTES
+from tests.loopback import config_data, listing, member
+from tests.virtual import run_simulated
+from umberworks import interface
+from umberworks.rules import Balancer
+
+UPSTREAMS = ("10.0.0.8", "10.0.0.9")
+BALANCER_ADDRESS = ("10.0.0.1", 7070)
+CONNECT_TIMEOUT_S, SHORT_CONNECT_TIMEOUT_S = 2.0, 0.2
+WARM_UP_REQUESTS, WARM_UP_WORK_S, WORK_S = 30, 0.05, 1.0
+LONG = bytes(range(251)) * 800  # about 200 KB, over the size up to which answers are passed on whole
+assert len(LONG) > STREAM_ABOVE_BYTES
+
+
+def with_length(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def chunked(body: bytes) -> bytes:
+    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
+
+
+def close_delimited(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
+
+
+FRAMINGS = (with_length, chunked, close_delimited)
+ANSWERS = [(framing(body), body) for framing in FRAMINGS for body in (b"short", LONG)]
+ANSWER_IDS = [f"{framing.__name__}-{size}" for framing in FRAMINGS for size in ("short", "long")]
+
+
+class Upstream(asyncio.Protocol):
+    """A connection to an upstream, which answers `answer` after its work and then closes it, or resets it."""
+
+    def __init__(self, fleet: Fleet, host: str) -> None:
+        self.fleet, self.host, self.received = fleet, host, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.received += data
+        if self.received.endswith(b"\r\n\r\n"):
+            self.fleet.received_at.append(self.host)
+            asyncio.get_running_loop().call_later(self.fleet.work_s, self.respond)
+
+    def respond(self) -> None:
+        if self.fleet.resets_first and self.host == self.fleet.received_at[0]:
+            self.transport.abort()
+            return
+        self.transport.write(self.fleet.answer)
+        self.transport.close()
+
+
+class Client(asyncio.Protocol):
+    """A client with one request; `answer` is None while it is not whole."""
+
+    def __init__(self, txn: str, remaining_s: float, path: str = "/read") -> None:
+        self.head = f"GET {path} HTTP/1.1\r\nHost: b\r\nX-Txn: {txn}\r\nX-Remaining: {remaining_s}\r\n\r\n"
+        self.reader, self.done = AnswerReader(2 * len(LONG)), asyncio.Event()
+        self.answer: Answer | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.write(self.head.encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.answer = self.answer or self.reader.feed(data)
+        if self.answer is not None:
+            self.done.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.done.set()
+
+
+@dataclass
+class Fleet:
+    """Two upstreams and a balancer before them."""
+
+    loop: SimLoop
+    network: Network
+    answer: bytes
+    module: type[Balancer] = Balancer
+    may_cancel: bool = True
+    resets_first: bool = False
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    work_s: float = WARM_UP_WORK_S
+    received_at: list[str] = field(default_factory=list)  # hosts of the upstreams, by request
+    late: str = ""  # the host whose connections do not come up
+
+    async def start(self) -> None:
+        """Start all, and serve some requests, so that the balancer knows how long they take."""
+        processes: list[Process] = []
+        for host in UPSTREAMS:
+            process, _ = self.loop.spawn(host, lambda host=host: self._listen(host))  # type: ignore[misc]
+            processes.append(process)
+        self.members = [member(f"s{i}", f"{host}:1") for i, host in enumerate(UPSTREAMS)]
+        data = config_data(self.members)
+        data["listen"] = f"{BALANCER_ADDRESS[0]}:{BALANCER_ADDRESS[1]}"
+        data["settings"]["limits"] |= {
+            "mayDuplicate": True,
+            "mayCancel": self.may_cancel,
+            "connectTimeout": self.connect_timeout_s * 1000,
+        }
+        self.node = Node(config.read(data), SimHost(self.network), self.module)
+        answer, self.answer = self.answer, with_length(b"warm")
+        for i in range(WARM_UP_REQUESTS):
+            client = await self.request(f"warm-up-{i}")
+            await client.done.wait()
+            assert client.answer is not None and client.answer.body == b"warm"
+        self.answer, self.work_s = answer, WORK_S
+        self.received_at.clear()
+
+    def _listen(self, host: str) -> Any:
+        return listen(SimHost(self.network), (host, 1), lambda: Upstream(self, host))
+
+    async def request(self, txn: str, remaining_s: float = 9.0) -> Client:
+        """Send a request on a connection of its own."""
+        _, client = await self.network.connect(lambda: Client(txn, remaining_s), *BALANCER_ADDRESS)
+        assert isinstance(client, Client)
+        return client
+
+    async def request_with_duplicate_connecting(self, remaining_s: float = 9.0) -> Client:
+        """Send a request; return once its duplicate waits for a connection to the other upstream."""
+        client = await self.request("crossed", remaining_s)
+        while not self.received_at:
+            await asyncio.sleep(0.001)
+        self.late = next(host for host in UPSTREAMS if host != self.received_at[0])
+        self.network.partition("world", self.late)
+        while not any(self.connecting()):
+            await asyncio.sleep(0.001)
+        return client
+
+    def connecting(self) -> list[bool]:
+        """For each open attempt, whether its connection is coming up."""
+        requests = self.node.engine._requests.values()
+        return [a.connecting is not None for r in requests for a in r.attempts if a is not None]
+
+    def let_connections_up(self) -> None:
+        """End the lateness of connections."""
+        self.network.heal("world", self.late)
+
+    async def settle(self) -> None:
+        """Let all that is out end; then nothing may be left of any request or connection."""
+        await asyncio.sleep(15.0)
+        node = self.node
+        assert node.engine.is_idle() and not node.server.open_ids
+        for pool in node.upstreams._pools.values():
+            assert not [c for c in pool.open if c not in pool.idle]
+        assert node.upstreams._open_count == sum(len(p.open) for p in node.upstreams._pools.values())
+        assert not node.upstreams.long
+        assert node.engine._balancer._load.in_flight == 0 and not node.engine._balancer._requests
+        node.discovery.stop()
+        node.upstreams.stop()
+
+
+def play(test: Callable[[Fleet], Awaitable[None]], answer: bytes, **more: Any) -> None:
+    """Run a test on a fleet whose upstreams give this answer."""
+
+    async def main(loop: SimLoop, network: Network) -> None:
+        fleet = Fleet(loop, network, answer, **more)
+        async with asyncio.timeout(30):
+            await fleet.start()
+            await test(fleet)
+            await fleet.settle()
+
+    run_simulated(main)
+
+
+EACH_ANSWER = pytest.mark.parametrize(("answer", "body"), ANSWERS, ids=ANSWER_IDS)
+
+
+@EACH_ANSWER
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_answer_is_whole_if_a_duplicate_was_connecting_as_it_began(
+    answer: bytes, body: bytes, may_cancel: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Review case 2: a long answer was neither finished nor cut off, as the end of the duplicate cancelled it.
+    async def test(fleet: Fleet) -> None:
+        client = await fleet.request_with_duplicate_connecting()
+        await client.done.wait()
+        assert client.answer is not None and client.answer.body == body
+        fleet.let_connections_up()
+
+    play(test, answer, may_cancel=may_cancel)
+    assert not [r for r in caplog.records if r.levelno >= logging.ERROR]
+
+
+@EACH_ANSWER
+@pytest.mark.parametrize("ending", ["timeout", "drained", "removed", "list moved", "balancer drains"])
+def test_answer_is_whole_if_the_duplicate_ends_before_it_begins(
+    answer: bytes, body: bytes, ending: str
+) -> None:
+    async def test(fleet: Fleet) -> None:
+        client = await fleet.request_with_duplicate_connecting()
+        other = UPSTREAMS.index(fleet.late)
+        match ending:
+            case "timeout":
+                await asyncio.sleep(1.5 * SHORT_CONNECT_TIMEOUT_S)
+            case "drained":
+                fleet.members[other] = fleet.members[other] | {"phase": "leaving"}
+            case "removed":
+                del fleet.members[other]
+            case "list moved":
+                fleet.members[other] = fleet.members[other] | {"host_port": "10.0.0.7:1"}
+        if ending == "balancer drains":
+            stopping = asyncio.ensure_future(fleet.node.stop())
+            await client.done.wait()
+            await stopping
+        else:
+            update = parse_listing(listing(2, *fleet.members))
+            fleet.node.discovery._apply(update, interface.ListKind.WHOLE)
+            fleet.let_connections_up()
+            await client.done.wait()
+        assert client.answer is not None and client.answer.body == body
+
+    timeout_s = SHORT_CONNECT_TIMEOUT_S if ending == "timeout" else CONNECT_TIMEOUT_S
+    play(test, answer, connect_timeout_s=timeout_s)
+
+
+@EACH_ANSWER
+def test_duplicate_answers_if_the_first_attempt_breaks_while_it_connects(answer: bytes, body: bytes) -> None:
+    async def test(fleet: Fleet) -> None:
+        client = await fleet.request_with_duplicate_connecting()
+        while len(fleet.connecting()) > 1 and not all(fleet.connecting()):
+            await asyncio.sleep(0.001)
+        assert all(fleet.connecting())  # the first attempt is over
+        fleet.let_connections_up()
+        await client.done.wait()
+        assert client.answer is not None and client.answer.body == body
+        assert fleet.late in fleet.received_at
+
+    play(test, answer, resets_first=True)
+
+
+@EACH_ANSWER
+def test_client_that_leaves_while_the_duplicate_connects_is_forgotten(answer: bytes, body: bytes) -> None:
+    async def test(fleet: Fleet) -> None:
+        client = await fleet.request_with_duplicate_connecting()
+        client.transport.abort()
+        await asyncio.sleep(0.01)
+        fleet.let_connections_up()
+        await asyncio.sleep(WORK_S)
+        assert fleet.late not in fleet.received_at[1:]
+
+    play(test, answer)
+
+
+@EACH_ANSWER
+def test_request_is_answered_at_its_deadline_while_the_duplicate_connects(answer: bytes, body: bytes) -> None:
+    async def test(fleet: Fleet) -> None:
+        client = await fleet.request_with_duplicate_connecting(remaining_s=0.7)
+        await client.done.wait()
+        assert client.answer is not None and client.answer.status in (502, 503, 504)
+        fleet.let_connections_up()
+
+    play(test, answer)
