Give a connection back if its attempt ends in the turn that made it

Callers would see "no descriptor left for a connection" after a long time: each such attempt left one connection counted as open for good.

Cause: the task that makes a connection was to drop it when it is cancelled, but a task that is cancelled before its first step runs nothing of its coroutine. It takes an attempt that ends in the turn of the loop that made it, as when a client's next connection takes its request id over.

Invariant: whoever cancels the task, its done callback drops the connection (`_drop_if_cancelled`).

--- a/passpost/upstreams/pool.py
+++ b/passpost/upstreams/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from passpost.host import HOST, Host
 from passpost.http1 import MAX_STREAM_BYTES, Address, Answer
@@ -32,6 +33,15 @@
     return Outcome.ERROR
 
 
+def _drop_if_cancelled(connection: Connection, connecting: asyncio.Task[None]) -> None:
+    """Drop a connection whose attempt ended while it was being made.
+
+    Not done by the task itself: one that is cancelled before its first step runs nothing of its coroutine.
+    """
+    if connecting.cancelled():
+        connection.drop()
+
+
 class Upstreams:
     """All upstreams by name, and the connections to them, at most `max_open`."""
 
@@ -131,9 +141,9 @@
             connection = Connection(pool, self)
             pool.open[connection] = None
             self._open_count += 1
-            attempt.connecting = asyncio.get_running_loop().create_task(
-                self._connect(connection, pool, attempt)
-            )
+            connecting = asyncio.get_running_loop().create_task(self._connect(connection, pool, attempt))
+            connecting.add_done_callback(partial(_drop_if_cancelled, connection))
+            attempt.connecting = connecting
         else:
             if not self._logged_full:  # at most one line a second, so that a shortage does not flood the log
                 self._logged_full = True
@@ -178,8 +188,6 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *pool.address)
-        except asyncio.CancelledError:  # the attempt has ended
-            connection.drop()
         except Exception as error:
             if not isinstance(error, OSError | TimeoutError):
                 log.exception("could not connect to upstream %s", pool.name)
