Keep what decides on repeats in one module, and new servers of a group out

A server that moves into a cell, or returns there, counted as one that drops the repeats of keys sent there before it came.

Change: `umberworks/deduplication.py` holds the group of a request: the entry of its first attempt that may have run, the time it was sent, the window. A server drops a repeat only if it has been in its zone and cell since before that. An entry that says "gone" no longer replaces the server's own, so that one that comes back in its place is neither moved nor taken for a new process.

--- a/tests/test_dedup_scope.py
+++ b/tests/test_dedup_scope.py
@@ -100,6 +100,22 @@
     assert repeats(harness, request) == [CELL_MATE]
 
 
+@APPLY
+@pytest.mark.parametrize("leaves_first", [False, True])
+def test_repeat_does_not_go_to_a_server_that_has_joined_the_cell_since(
+    apply: Apply, leaves_first: bool
+) -> None:
+    # A server that moves into the cell has not seen the keys that were sent there before.
+    old = members(SERVERS)
+    harness, request = request_out_at_ran(ORDER)
+    remaining = tuple(m for m in old if m.server not in (RAN, CELL_MATE, "s0"))
+    if leaves_first:
+        apply(harness, old, remaining)
+        old = remaining
+    apply(harness, old, (*remaining, Member("s0", zone="z0", cell=3)))
+    assert repeats(harness, request) == []
+
+
 @pytest.mark.parametrize(
     "event",
     [
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -15,6 +15,7 @@
 from umberworks.admission import RATE_DECAY_MS, AdmissionControl
 from umberworks.call_tracker import CallTracker
 from umberworks.concurrency import ConcurrencyLimits
+from umberworks.deduplication import repeat_group
 from umberworks.handover import Handover, export_state
 from umberworks.interface import DedupScope, Effect, ListKind, Outcome
 from umberworks.kinds import KindSpeeds
@@ -133,7 +134,8 @@
                 self._set_eligible(server, False)  # what it is sampled by changes
             if member.up_since_ms > server.member.up_since_ms:
                 server.reset_evidence(now)  # a new process of the same name
-            server.member, server.size = member, size
+            server.set_member(member, now)
+            server.size = size
             server.listed_ready = member.readiness is interface.Readiness.READY
             self._set_eligible(server, server.listed_ready and member.server not in self._detached)
             self._slow_start.note_start(member.up_since_ms)
@@ -350,25 +352,14 @@
     def _candidates(self, request: Request, now: float) -> tuple[int, Callable[[Server], bool] | None]:
         """How many servers, by rank, the next attempt may choose from, and what condition it must meet."""
         cls, fleet = request.cls, self._fleet
-        ran = next((a for a in request.attempts if a.ran), None)
+        group = repeat_group(cls, request.attempts)
         if request.is_out() and not self._settings.may_duplicate:
             return 0, None
-        if ran is None or cls.effect is Effect.REPEATABLE:
+        if group is None or cls.effect is Effect.REPEATABLE:
             return fleet.subset_size, None
-        if cls.effect is Effect.ONCE or now >= ran.sent + cls.dedup_window_ms - self._settings.tick_ms:
+        if cls.effect is Effect.ONCE or not group.is_open(now + self._settings.tick_ms):
             return 0, None
-        sent, first, group = ran.sent, ran.member, cls.dedup_scope
-
-        def drops_repeats(server: Server) -> bool:
-            # A server that restarted since the first attempt may have lost its record of it.
-            member = server.member
-            if max(member.up_since_ms, server.reattached_at) > sent:
-                return False
-            if group is DedupScope.ALL:
-                return True
-            return member.zone == first.zone if group is DedupScope.ZONE else member.cell == first.cell
-
-        return len(fleet.ready), drops_repeats
+        return len(fleet.ready), group.drops_repeat
 
     def _pick(self, request: Request, now: float) -> Server | None:
         """Sample servers by capacity and take the one with the lowest load after this call."""
--- a/umberworks/servers.py
+++ b/umberworks/servers.py
@@ -35,6 +35,7 @@
 
     def __init__(self, member: interface.Member, now: float, rank: float, warmth: Warmth) -> None:
         self.member, self.rank, self.size = member, rank, 1.0
+        self.in_group_since = now  # when the list first showed it in its present zone and cell
         self.warmth = warmth
         # Ready according to the list; ready and not detached by an operator; when it last served a call.
         self.listed_ready, self.eligible, self.last_served_at = False, False, now
@@ -48,6 +49,14 @@
         self.calls_outside_subset = 0.0  # what it adds to `Fleet._other_calls` while it is not in the subset
         self.reset_evidence(now)
 
+    def set_member(self, member: interface.Member, now: float) -> None:
+        """Take over its new list entry; one that says that it is gone tells nothing of its zone and cell."""
+        if member.readiness is interface.Readiness.GONE:
+            return
+        if (member.zone, member.cell) != (self.member.zone, self.member.cell):
+            self.in_group_since = now
+        self.member = member
+
     def reset_evidence(self, now: float) -> None:
         """Drop the evidence, as the process that it was about has been replaced or may have been."""
         # Served calls and the time that calls were in flight, both decayed up to `updated_at`.
