Remember when a server was put back while the list does not name it

A server that operators put back counts as just started, as its process may have been replaced: it is cold, and gets no repeat of a key from before. An entry that left the list and came back with an older start forgot this.

Change: the decision module keeps the time by server, beside the set of detached ones, and gives it to a new entry.

Measured: the two new cases of tests/test_detached.py failed before (warmth 1.0 for 0.2), and pass."

--- a/tests/test_detached.py
+++ b/tests/test_detached.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+import pytest
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -125,6 +126,30 @@
     assert [s.server for s in again] in ([], [first])
 
 
+@pytest.mark.parametrize("attached_first", [False, True])
+def test_a_server_attached_again_stays_cold_and_gets_no_repeat_though_its_entry_is_made_anew(
+    attached_first: bool,
+) -> None:
+    # Its process may have restarted; an entry that left the list meanwhile forgot when that may have been.
+    harness = BalancerHarness(2, cold_ms=10_000)
+    request, actions = harness.new_request(ORDER)  # s0 and s1 are one cell
+    first = sent(actions)[0].server
+    own, other = sorted(members(2), key=lambda m: m.server != first)
+    harness.now += 10
+    harness.deliver(Detached(other.server))
+    attached = Attached(other.server, harness.now)
+    if attached_first:
+        harness.deliver(attached)
+    harness.update_list(own)
+    if not attached_first:
+        harness.deliver(attached)
+    harness.update_list(own, other)
+    server = harness.balancer._servers[other.server]
+    assert harness.balancer._slow_start.warmth(server, harness.now) == 0.2
+    again = sent(harness.end_attempt(request, 0, first, Outcome.BROKEN))
+    assert [s.server for s in again] in ([], [first])
+
+
 class DetachedServers(RuleBasedStateMachine):
     """Lists, detached servers and requests in any order: only ready servers that are attached get calls."""
 
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -51,6 +51,7 @@
         self._servers: dict[str, Server] = {}
         self._detached: set[str] = set()  # by operators, whatever the list says
         self._reattached: list[Server] = []  # attached again, and no call served since
+        self._reattached_at: dict[str, float] = {}  # when, by server, also while the list does not name it
         self._removed: dict[str, Server] = {}  # not eligible any more; kept while calls are in flight
         self._requests: dict[int, Request] = {}
         self._wait_queue: list[tuple[bool, float, int]] = []  # heap of (over quota, -arrival time, request)
@@ -128,6 +129,7 @@
             if server is None:
                 server = Server(member, now, self._random.random(), self._slow_start.warmth)
                 self._servers[member.server] = server
+                server.reattached_at = self._reattached_at.get(member.server, 0.0)
                 self._handover.apply(server)
             size = self._kinds.estimated_size(member)
             if member.up_since_ms > server.member.up_since_ms or size != server.size:
@@ -153,6 +155,7 @@
         was_detached = event.server in self._detached
         self._detached.discard(event.server)
         self._slow_start.note_start(event.at_ms)
+        self._reattached_at[event.server] = max(self._reattached_at.get(event.server, 0.0), event.at_ms)
         if server is not None and (was_detached or server.reattached_at < event.at_ms):
             server.reattached_at = max(server.reattached_at, event.at_ms)
             self._set_eligible(server, False)
