Check a repeat's window and server again once its connection is open

The window of a key and the group of a server were checked when the server was chosen, not when the request was written: a repeat went out past its window by the time that the connection took, and to a server that had restarted or changed its cell meanwhile, which has no record of the key.

Change: the module says at the write whether an attempt may still be sent (`may_still_send`, in umberworks/deduplication.py); one that may not ends as not sent, and the module chooses again. The engine asks at the one place that all writes of a first byte pass, `_may_go`.

--- a/passpost/engine.py
+++ b/passpost/engine.py
@@ -300,10 +300,12 @@
         def done(outcome: Outcome, answer: Answer | None) -> None:
             self._on_attempt_ended(number, request, index, server, outcome, answer)
 
-        was_draining = server in self._draining  # then the module chose it all the same, which is allowed
+        # A server that starts draining after it was chosen gets nothing; one that was draining then is allowed.
+        was_draining = server in self._draining
 
         def may_go() -> bool:
-            return self._may_go(number, request, was_draining or server not in self._draining)
+            stays = was_draining or server not in self._draining
+            return stays and self._may_go(number, request, index)
 
         def begin(answer: Answer, length: int | None, source: Source) -> Sink | None:
             return self._start_answer(number, request, index, answer, length, source)
@@ -313,21 +315,30 @@
         if not attempt.is_over():
             request.attempts[index] = attempt
 
-    def _may_go(self, number: int, request: _OpenRequest, stays: bool) -> bool:
+    def _may_go(self, number: int, request: _OpenRequest, index: int) -> bool:
         """Whether an attempt may still be sent; checked when it is made, and again once its connection is open.
 
         Nothing is sent after the final answer, nor if part of the body has been consumed already, nor for a client
-        that has disconnected. Nor to a server that started draining after it was chosen (`stays` is false): the module
-        then chooses again.
+        that has disconnected, nor if the module does not allow it any more: the module then chooses again.
         """
         upload = request.outgoing.upload
-        if not stays or request.finished or (upload is not None and upload.is_consumed):
+        if request.finished or (upload is not None and upload.is_consumed):
+            return False
+        if not self._module_allows(number, index):
             return False
         if request.caller.has_left():
             self.client_disconnected(number)
             return False
         return True
 
+    def _module_allows(self, number: int, index: int) -> bool:
+        """Whether the module lets an attempt be sent now; false if it fails."""
+        try:
+            return self._balancer.may_send(number, index, self.now())
+        except Exception:
+            log.exception("the decision module failed on whether to send")
+            return False
+
     def _start_answer(
         self,
         number: int,
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -157,6 +157,7 @@
         "umberworks.admission",
         "umberworks.call_tracker",
         "umberworks.concurrency",
+        "umberworks.deduplication",
         "umberworks.handover",
         "umberworks.interface",
         "umberworks.kinds",
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -31,6 +31,7 @@
 UPSTREAMS = ("10.0.0.8", "10.0.0.9")
 BALANCER_ADDRESS = ("10.0.0.1", 7070)
 CONNECT_TIMEOUT_S, SHORT_CONNECT_TIMEOUT_S = 2.0, 0.2
+WINDOW_S, KEY = 0.7, "Idempotency-Key: k\r\n"
 WARM_UP_REQUESTS, WARM_UP_WORK_S, WORK_S = 30, 0.05, 1.0
 UPLOAD = b"x" * (STREAM_ABOVE_BYTES + 1)  # the first bytes of it are passed on before the last have come
 LONG = bytes(range(251)) * 800  # about 200 KB, over the size up to which answers are passed on whole
@@ -84,7 +85,7 @@
     def data_received(self, data: bytes) -> None:
         self.received += data
         head, _, body = self.received.partition(b"\r\n\r\n")
-        if body == (UPLOAD if head.startswith(b"POST") else b""):
+        if body == (UPLOAD if head.startswith(b"POST /pay") else b""):
             self.fleet.received_at.append(self.host)
             asyncio.get_running_loop().call_later(self.fleet.work_s, self.respond)
 
@@ -142,6 +143,8 @@
         self.members = [member(f"s{i}", f"{host}:1") for i, host in enumerate(UPSTREAMS)]
         data = config_data(self.members)
         data["listen"] = f"{BALANCER_ADDRESS[0]}:{BALANCER_ADDRESS[1]}"
+        for cls in data["settings"]["classes"]:
+            cls |= {"repeatWindow": WINDOW_S * 1000, "keyScope": "cell"}
         data["settings"]["limits"] |= {
             "mayDuplicate": True,
             "mayCancel": self.may_cancel,
@@ -169,9 +172,9 @@
         assert isinstance(client, Client)
         return client
 
-    async def request_with_duplicate_connecting(self, remaining_s: float = 9.0) -> Client:
+    async def request_with_duplicate_connecting(self, remaining_s: float = 9.0, **more: str) -> Client:
         """Send a request; return once its duplicate waits for a connection to the other upstream."""
-        client = await self.request("crossed", remaining_s)
+        client = await self.request("crossed", remaining_s, **more)
         while not self.received_at:
             await asyncio.sleep(0.001)
         self.late = next(host for host in UPSTREAMS if host != self.received_at[0])
@@ -296,6 +299,35 @@
     play(test, answer)
 
 
+@EACH_ANSWER
+@pytest.mark.parametrize("change", ["window", "restarted", "another cell"])
+@pytest.mark.parametrize("resets_first", [False, True])
+def test_repeat_is_not_sent_if_its_server_no_longer_drops_it_once_connected(
+    answer: bytes, body: bytes, change: str, resets_first: bool
+) -> None:
+    # A key's window was checked when the server was chosen, and exceeded by the time that its connection took.
+    async def test(fleet: Fleet) -> None:
+        client = await fleet.request_with_duplicate_connecting(target="POST /order", headers=KEY)
+        other = UPSTREAMS.index(fleet.late)
+        match change:
+            case "window":
+                await asyncio.sleep(WINDOW_S)
+            case "restarted":
+                started_ms = fleet.node.engine.now()
+                fleet.members[other] = fleet.members[other] | {"up_since_ms": started_ms}
+            case "another cell":
+                fleet.members[other] = fleet.members[other] | {"cell": 1}
+        update = parse_listing(listing(2, *fleet.members))
+        fleet.node.discovery._apply(update, interface.ListKind.WHOLE)
+        fleet.let_connections_up()
+        await client.done.wait()
+        assert client.answer is not None
+        assert client.answer.body == (b"" if resets_first else body)
+        assert fleet.late not in fleet.received_at
+
+    play(test, answer, resets_first=resets_first)
+
+
 @EACH_ANSWER
 def test_request_is_answered_at_its_deadline_while_the_duplicate_connects(answer: bytes, body: bytes) -> None:
     async def test(fleet: Fleet) -> None:
--- a/umberworks/deduplication.py
+++ b/umberworks/deduplication.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from umberworks.interface import DedupScope, Member, RequestClass
-from umberworks.requests import Attempt
+from umberworks.interface import DedupScope, Effect, Member, RequestClass
+from umberworks.requests import Attempt, Request
 from umberworks.servers import Server
 
 
@@ -47,6 +47,17 @@
         return member.cell == self.member.cell
 
 
+def may_still_send(request: Request, attempt: int, now: float) -> bool:
+    """Whether an attempt of this number that has waited since it was chosen may be sent now.
+
+    A repeat of a keyed request may not if the window is over, or if its server has been replaced meanwhile.
+    """
+    if request.cls.effect is not Effect.KEYED:
+        return True
+    group = repeat_group(request.cls, request.attempts[:attempt])
+    return group is None or (group.is_open(now) and group.drops_repeat(request.attempts[attempt].server))
+
+
 def repeat_group(cls: RequestClass, attempts: Iterable[Attempt]) -> RepeatGroup | None:
     """The group of a request with these attempts; None if none of them can have run."""
     ran = next((a for a in attempts if a.ran), None)
--- a/umberworks/rules.py
+++ b/umberworks/rules.py
@@ -15,7 +15,7 @@
 from umberworks.admission import RATE_DECAY_MS, AdmissionControl
 from umberworks.call_tracker import CallTracker
 from umberworks.concurrency import ConcurrencyLimits
-from umberworks.deduplication import repeat_group
+from umberworks.deduplication import may_still_send, repeat_group
 from umberworks.handover import Handover, export_state
 from umberworks.interface import DedupScope, Effect, ListKind, Outcome
 from umberworks.kinds import KindSpeeds
@@ -163,6 +163,11 @@
             self._set_eligible(server, server.listed_ready)
             self._reattached.append(server)
 
+    def may_send(self, request_id: int, attempt: int, now: float) -> bool:
+        """Whether an attempt may still be sent that has waited since it was chosen, as for a connection."""
+        request = self._requests.get(request_id)
+        return request is None or may_still_send(request, attempt, now + self._settings.tick_ms)
+
     def learned(self, now: float) -> interface.LearnedState:
         """The state to hand over to the version that takes over from this one."""
         return export_state(self._load, self._fleet.ready, now)
