Trace how a streamed answer ended

Change: the traced engine notes the end of the attempt whose answer is streamed: served, failed if it was cut off, left only if its client left. Without tracing nothing changes.

--- a/passpost/trace/engine.py
+++ b/passpost/trace/engine.py
@@ -113,8 +113,12 @@
             trace.tries[index] = AttemptEntry(
                 server, round(sent_ms - trace.arrived_ms), round(now - sent_ms), outcome_name, written_ms
             )
-            if outcome is Outcome.SERVED and not request.finished:
+            attempt = request.attempts[index]
+            is_streamed = attempt is not None and attempt is request.started_attempt
+            if outcome is Outcome.SERVED and (is_streamed or not request.finished):
                 trace.end, trace.ended_ms = RequestEnd.SERVED, now
+            elif is_streamed and outcome is not Outcome.CANCELLED:  # cut off; cancelled if its client left
+                trace.end, trace.ended_ms = RequestEnd.FAILED, now
         super()._on_attempt_ended(number, request, index, server, outcome, answer)
 
     def _remove_if_done(self, number: int, request: _OpenRequest) -> None:
--- a/tests/trace/test_trace.py
+++ b/tests/trace/test_trace.py
@@ -34,6 +34,8 @@
 from tests.loopback import (
     Balancer,
     FakeServer,
+    ReceivedRequest,
+    Writer,
     answer_json,
     config_data,
     listing,
@@ -312,6 +314,46 @@
         run(test())
 
 
+@pytest.mark.parametrize("ending", [RequestEnd.SERVED, RequestEnd.FAILED, RequestEnd.LEFT])
+def test_a_streamed_answer_logs_how_it_ended(ending: RequestEnd, caplog: pytest.LogCaptureFixture) -> None:
+    # Each one was logged as "left": a whole one, one cut off and one that never ended looked alike.
+    async def test() -> None:
+        begun, go_on = asyncio.Event(), asyncio.Event()
+
+        async def reply(request: ReceivedRequest, writer: Writer) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + bytes(100_000))
+            begun.set()
+            await go_on.wait()
+            if ending is RequestEnd.SERVED:
+                writer.write(bytes(100_000))
+            else:
+                writer.transport.abort()
+
+        upstream = FakeServer(reply)
+        await upstream.start()
+        data = config_data([member("s0", upstream.host_port)])
+        balancer = Balancer(Node(config.read(data), engine=TracedEngine))
+        client = await balancer.connect()
+        client.send()
+        await begun.wait()
+        await client.reader.readexactly(70_000)
+        if ending is RequestEnd.LEFT:
+            client.writer.transport.abort()
+            await wait_until(lambda: not balancer.node.server.connections)
+        go_on.set()
+        await wait_until(balancer.node.engine.is_idle)
+        (entry,) = [e for r in caplog.records if (e := parse_request(r.getMessage())) is not None]
+        assert entry.end is ending
+        balancer.disconnect_clients()
+        balancer.node.server.close()
+        balancer.node.close()
+        upstream.stop()
+        await asyncio.sleep(0)
+
+    with caplog.at_level(logging.INFO, "passpost.trace.engine"):
+        run(test())
+
+
 def test_the_tracing_modules_are_not_imported_by_default() -> None:
     code = "import sys, passpost.__main__; sys.exit(any(n.startswith('passpost.trace') for n in sys.modules))"
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
