Test an answer that outlives its request beside a connecting duplicate

Sidecars let a started answer go on past its request's time, which takes another way through Engine._mark_finished.

--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -225,11 +225,13 @@
 
 @EACH_ANSWER
 @pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("unbounded", [False, True])  # sidecars let a started answer outlive its request
 def test_answer_is_whole_if_a_duplicate_was_connecting_as_it_began(
-    answer: bytes, body: bytes, may_cancel: bool, caplog: pytest.LogCaptureFixture
+    answer: bytes, body: bytes, may_cancel: bool, unbounded: bool, caplog: pytest.LogCaptureFixture
 ) -> None:
     # Review case 2: a long answer was neither finished nor cut off, as the end of the duplicate cancelled it.
     async def test(fleet: Fleet) -> None:
+        fleet.node.engine._unbounded_answers = unbounded
         client = await fleet.request_with_duplicate_connecting()
         await client.done.wait()
         assert client.answer is not None and client.answer.body == body
