--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -60,7 +60,12 @@
     """A decision module that raises on events of one type, instead of handling them or afterwards."""
 
     fails_on: type | None = None
-    handles_first = False
+    handles_first, fails_at_write = False, False
+
+    def may_send(self, request_id: int, attempt: int, now: float) -> bool:
+        if self.fails_at_write:
+            raise RuntimeError("a fault of the module")
+        return super().may_send(request_id, attempt, now)
 
     def handle(self, event: interface.Event, now: float) -> list[interface.Action]:
         fails = self.fails_on is not None and isinstance(event, self.fails_on)
@@ -383,6 +388,20 @@
     play(test, answer, module=FailingBalancer)
 
 
+def test_request_ends_if_the_module_raises_as_it_is_to_be_written() -> None:
+    async def test(fleet: Fleet) -> None:
+        module = fleet.node.engine._balancer
+        assert isinstance(module, FailingBalancer)
+        module.fails_at_write = True
+        client = await fleet.request("crossed", 3.0)
+        async with asyncio.timeout(0.1):
+            await client.done.wait()
+        assert client.answer is not None and client.answer.status == 503
+        assert not fleet.received_at  # so that a refusal is true
+
+    play(test, with_length(b"short"), module=FailingBalancer)
+
+
 @pytest.mark.parametrize("handles_first", [False, True])
 @pytest.mark.parametrize("event", [interface.BodyDiscarded, interface.BodyEnded])
 def test_upload_ends_whatever_the_module_raises(event: type, handles_first: bool) -> None:
