--- a/passpost/rehearsal/world.py
+++ b/passpost/rehearsal/world.py
@@ -17,6 +17,7 @@
 from passpost.rehearsal import carried, model, platform_file
 from passpost.rehearsal.clients import ClientRequest, Clients
 from passpost.rehearsal.model import NodeKind, Scenario, Tier
+from passpost.rehearsal.node_faults import Toggle, behaviour, slowdown
 from passpost.rehearsal.nodes import IdempotencyKeys, Node
 from passpost.rehearsal.registry import Registry, RegistryEntry
 from passpost.rehearsal.speech import RequestFormat
@@ -328,11 +329,7 @@
                 self._log_event(f"every node {event.factor:g} times slower for {event.for_s:g} s")
                 for node_host in self._hosts:
                     if event.tier in ("", node_host.tier.name) and node_host.node is not None:
-                        self._apply_for(
-                            node_host.node,
-                            event.for_s,
-                            lambda n, on: n.slow_down(_factor_or_inverse(event.factor, on)),
-                        )
+                        self._apply_for(node_host.node, event.for_s, slowdown(event.factor))
             case model.Rush():
                 self._log_event(f"clients send {event.factor:g} times as much for {event.for_s:g} s")
                 surge = (event.factor, event.tenant)
@@ -445,7 +442,7 @@
             matches = sorted(self._random.sample(matches, event.count), key=names.index)
         return matches
 
-    def _apply_for(self, node: Node, seconds: float, toggle: Callable[[Node, bool], None]) -> None:
+    def _apply_for(self, node: Node, seconds: float, toggle: Toggle) -> None:
         self.backend.run_as(node.name, lambda: toggle(node, True))
 
         def revert() -> None:
@@ -458,36 +455,10 @@
         node_host = self._host_by_node.get(name)
         node = node_host.node if node_host is not None else None
         duration = f"for {event.for_s:g} s"
+        if node is not None and (fault := behaviour(event)) is not None:
+            self._log_event(f"{name} {fault.description} {duration}")
+            self._apply_for(node, event.for_s, fault.toggle)
         match event:
-            case model.Slow() if node is not None:
-                self._log_event(f"{name} {event.factor:g} times slower {duration}")
-                self._apply_for(
-                    node, event.for_s, lambda n, on: n.slow_down(_factor_or_inverse(event.factor, on))
-                )
-            case model.Silent() if node is not None:
-                self._log_event(f"{name} sends no responses {duration}")
-
-                def set_silent(n: Node, on: bool) -> None:
-                    n.silent_count += 1 if on else -1
-
-                self._apply_for(node, event.for_s, set_silent)
-            case model.Hang() if node is not None:
-                self._log_event(f"{name} hangs {duration}")
-                self._apply_for(node, event.for_s, lambda n, on: n.set_hanging(on))
-            case model.Reset() if node is not None:
-                self._log_event(
-                    f"{name} resets the connection for {event.share:.0%} of its responses {duration}"
-                )
-                self._apply_for(
-                    node, event.for_s, lambda n, on: _add_or_remove(n.reset_shares, event.share, on)
-                )
-            case model.Spoil() if node is not None:
-                self._log_event(
-                    f"{name} sends malformed bytes for {event.share:.0%} of its responses {duration}"
-                )
-                self._apply_for(
-                    node, event.for_s, lambda n, on: _add_or_remove(n.malformed_shares, event.share, on)
-                )
             case model.Pause():
                 self._log_event(f"{name} is paused {duration}")
                 self._pause_process(name, node, event.for_s)
@@ -614,14 +585,3 @@
         ready = sum(self.clients.front.is_ready(n) for n in self.clients.front.addresses)
         self.run.samples.append(Sample(self.backend.now(), requests_by_node, ready))
         self._call_after(SAMPLE_INTERVAL_S, self._take_sample)
-
-
-def _factor_or_inverse(factor: float, on: bool) -> float:
-    return factor if on else 1 / factor
-
-
-def _add_or_remove(values: list[float], value: float, on: bool) -> None:
-    if on:
-        values.append(value)
-    else:
-        values.remove(value)
