--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -160,10 +160,10 @@
         traceback.print_exc()
         status = NOT_RUN
     words = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "could not run"}[status]
-    print(f"{words}{': ' + case.broken[0] if case.broken else ''}")
     case.note(f"{words}; exit {status}")
     case.end()
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        print(f"{words}{': ' + case.broken[0] if case.broken else ''}", flush=True)
     os._exit(status)  # the loop is closed: connections that are left need no further word
 
 
