--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,111 +1,77 @@
-"""Long jobs, sent whole, for servers that spend seconds reading them: does each client get its answer in time?"""
+"""One client sends one job of 3 MB in small chunks: are the other clients answered meanwhile?"""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import hashlib
-import re
-import socket
+import json
+import subprocess
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
-from stand import TROUBLE, Balancer, Case, Client, Discovery, Member, answer, config, run_case
+from stand import TROUBLE, Balancer, Case, Client, Discovery, Member, config, run_case
 
-SERVERS = 10
-LENGTHS = [
-    n * 1_000_000 for n in range(3, 13)
-]  # of 32 MB at most; how much of one waits in the kernel is its own
-REMAINING_S = 2.0
+HERE = Path(__file__).resolve().parent
+SERVERS = 12
+LENGTH = 3_000_000  # of 32 MB at most
+CHUNK = 1 if TROUBLE else 50_000
+REMAINING_S = 1.5  # half of the deadline: "a try is given up after 40 to 55% of the class's give-up time"
 LATE_S = 0.55  # an answer up to half a second late only earns nothing; 50 ms more are those of PROTOCOL
-WAIT_S = 25.0
-PIECE, PAUSE_S = 50_000, 0.05  # a server reads 1 MB/s: 3 to 12 s for these bodies
+INTERVAL_S, LENGTH_S, WAIT_S = 0.05, 12.0, 40.0
 
 
-class SlowReader:
-    """A server that reads a request at its own pace, and answers each in the moment in which it has it whole."""
-
-    def __init__(self, case: Case, name: str) -> None:
-        self.case, self.name, self.address = case, name, ""
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=PIECE)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        self._server = server
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                length = re.search(rb"(?i)content-length: *(\d+)", head)
-                txn = re.search(rb"(?i)x-txn: *(\S+)", head)
-                assert length is not None and txn is not None
-                left, digest, began = int(length[1]), hashlib.sha256(), self.case.now()
-                self.case.note(f"{self.name} begins to read {txn[1].decode()}, {left} bytes")
-                while left:
-                    piece = await reader.readexactly(min(left, PIECE))
-                    left -= len(piece)
-                    digest.update(piece)
-                    if TROUBLE:
-                        await asyncio.sleep(PAUSE_S)
-                self.case.note(f"{self.name} has read {txn[1].decode()} in {self.case.now() - began:.2f} s")
-                writer.write(answer(digest.hexdigest().encode()))
-        except (asyncio.IncompleteReadError, ConnectionError) as error:
-            self.case.note(f"{self.name}: the connection ended: {type(error).__name__}")
-        finally:
-            writer.close()
-
-
-async def submit(case: Case, balancer: Balancer, length: int) -> bool | None:
-    """Send one job; whether its answer came in time, or None if its last byte could not be written at once."""
-    loop, txn = asyncio.get_running_loop(), Client.new_id()
-    with socket.socket() as connection:
-        connection.setblocking(False)
-        await loop.sock_connect(connection, (balancer.host, balancer.port))
-        began = case.now()
-        head = Client.head("job-submit", txn, REMAINING_S, "POST", length, Idempotency_Key=txn)
-        try:
-            async with asyncio.timeout(1.0):
-                await loop.sock_sendall(connection, head + bytes(length))
-        except TimeoutError:
-            case.note(f"{txn}, {length} bytes: not all of it could be written; it does not count")
-            return None
-        written = case.now()
-        case.note(f"{txn}, {length} bytes: last byte written after {written - began:.3f} s")
-        first = b""
-        with contextlib.suppress(TimeoutError, ConnectionError):
-            async with asyncio.timeout(WAIT_S):
-                first = await loop.sock_recv(connection, 4096)
-        took = case.now() - written
-        words = first.split(b"\r\n", 1)[0].decode() if first else "nothing"
-        case.note(f"{txn}, {length} bytes: {words}, {took:.3f} s after its last byte")
-        if not first or took > REMAINING_S + LATE_S:
-            case.break_rule(
-                f"{txn}, {length} bytes, X-Remaining {REMAINING_S}: {words}, {took:.2f} s after its last byte"
-            )
-            return False
-        return True
+def start(case: Case, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+    """Start a stand-in of this folder as a process."""
+    process = subprocess.Popen(
+        [sys.executable, str(HERE / name), *arguments], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
+    case.processes.append(process)
+    return process
 
 
 async def body(case: Case) -> None:
-    """Send the jobs one every half second."""
-    servers = [SlowReader(case, f"s-{i}") for i in range(SERVERS)]
-    for server in servers:
-        await server.start()
-    members = [Member(server.name, server.address) for server in servers]
+    """Send ordinary requests, 20 a second, and after a second the job; look when each request was answered."""
+    loop = asyncio.get_running_loop()
+    servers = start(case, "servers.py", str(SERVERS))
+    assert servers.stdout is not None
+    ports = json.loads(servers.stdout.readline())
+    members = [Member(f"s-{i}", f"127.0.0.1:{port}") for i, port in enumerate(ports)]
     discovery = Discovery(case, members)
     await discovery.start()
     balancer = Balancer(case, "n1", config(discovery, members))
     await balancer.ready()
-    jobs = []
-    for length in LENGTHS:
-        jobs.append(asyncio.create_task(submit(case, balancer, length)))
-        await asyncio.sleep(0.5)
-    results = await asyncio.gather(*jobs)
-    if all(result is None for result in results):
-        raise RuntimeError("no job could be written whole")
+    job = Client.new_id()
+    writer = start(case, "writer.py", balancer.host, str(balancer.port), job, str(LENGTH), str(CHUNK))
+    assert writer.stdin is not None and writer.stdout is not None
+    await loop.run_in_executor(None, writer.stdout.readline)
+
+    async def fetch() -> None:
+        txn, began, words = Client.new_id(), case.now(), "nothing"
+        try:
+            client = await Client.connect(balancer)
+            client.writer.write(client.head("frame-fetch", txn, REMAINING_S))
+            reply = await client.read_answer(WAIT_S)
+            words = "a close" if reply is None else f"{reply.status} {reply.body.decode()}"
+            client.close()
+        except (OSError, TimeoutError) as error:
+            words = type(error).__name__
+        took = case.now() - began
+        case.note(f"{txn} sent at {began:.3f}: {words}, after {took:.3f} s")
+        if took > REMAINING_S + LATE_S:
+            case.break_rule(f"{txn}, X-Remaining {REMAINING_S}: {words}, {took:.2f} s after it was sent")
+
+    tasks = []
+    for number in range(int(LENGTH_S / INTERVAL_S)):
+        if number == 20:
+            case.note(f"{job} begins: {LENGTH} bytes in chunks of {CHUNK}")
+            writer.stdin.write(b"\n")
+            writer.stdin.flush()
+        tasks.append(asyncio.create_task(fetch()))
+        await asyncio.sleep(INTERVAL_S)
+    await asyncio.gather(*tasks)
+    line = (await loop.run_in_executor(None, writer.stdout.readline)).decode().strip()
+    case.note(f"{job}, the job: {line}")
 
 
 run_case(__file__, body)
